--- /dev/null
+++ b/notchflow/logic.py
@@ -0,0 +1,707 @@
+"""Every decision of notchflow: hot-key factoring, the rules, health. Types: notchflow/interface.py.
+
+Pure: a Balancer is told the time and an event and answers with actions. docs/design.md says what is kept
+of the design and when each departure from it applies.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import random
+from collections import deque
+from collections.abc import Iterable
+from typing import Final
+
+from notchflow.interface import (
+    Action, Cancel, ClientGone, Effect, Event, Fail, Group, ListKind, Member, Membership, Outcome,
+    Refuse, Request, RequestClass, Send, SetTimer, Settings, State, Status, StreamStarted, Timer, Watch,
+)
+
+TOP_K: Final = 16  # keys in either list; popularity is steep, beyond these a key is no burden to one server
+COMPARISONS: Final = 32
+FIFO_MS: Final = 5_000.0  # c spans this much own traffic, so that a surge fills it as fast at a trickle ...
+FIFO_MIN, FIFO_MAX = 32, 512  # ... but never fewer entries than m, nor more than an index reaches cheaply
+MIN_MATCHES: Final = 6  # chance alone gives a key asked for three times about one
+AGE_MS: Final = 5_000.0  # counters and N halve this often: popularity moves on
+PRIOR_REQUESTS: Final = 50.0  # a key that enters the historical list keeps its old rate for about so many
+# --- threshold and spread
+SAMPLE_MS: Final = 250.0  # own load is sampled this often
+HISTORY: Final = 240  # samples kept: a minute
+HISTORY_MIN: Final = 20  # no threshold before so many samples
+PERCENTILE: Final = 0.8  # base load: own load exceeds it a fifth of the time
+ENTER, LEAVE = 1.5, 1.1  # factoring starts above ENTER times the base load and ends below LEAVE times
+LOAD_FLOOR: Final = 3.0  # attempts in hand below which load is chance, whatever the history
+SWAMP: Final = 0.8
+LOAD_SPREAD: Final = 2  # servers for every hot key while own load is high
+WIDEN_MS: Final = 500.0  # a spread grows one step, half as much again, this often
+# --- order of servers and load bound
+PLACES: Final = 6
+MEMO_MAX: Final = 20_000  # remembered keys
+BOUND: Final = 3.0
+BOUND_MIN: Final = 6.0  # in flight below which the bound never acts
+WARM_STEP_MS: Final = 500.0  # a cold server's weight is raised this often
+# --- weights learned from latency
+LEARN_MS: Final = 1_000.0  # a kind's weight is corrected this often
+LEARN_GAIN: Final = 0.5  # of the logarithm of its relative latency
+LEARN_BAND: Final = 0.12
+LEARN_SURE: Final = 2.0  # and so many times its likely error, one over the root of the answers seen
+LEARN_KEEP: Final = 400.0  # answers of a kind after which the older ones fade
+LEARN_MIN, LEARN_MAX = 0.1, 4.0
+SMOOTH: Final = 0.05  # weight of one answer in a mean of latencies
+# --- health
+SUSPECT_AFTER: Final = 2
+EJECT_MS, EJECT_MAX_MS = 1_000.0, 8_000.0
+TRIAL_SHARE: Final = 0.4  # of the time left for an attempt at a server under suspicion
+QUIET_SHARE: Final = 0.34  # of the fleet that time-outs alone may eject: more is trouble elsewhere
+TOLERANCE: Final = 1.2
+COMFORT: Final = 0.7
+CHANCE: Final = 4.0  # unanswered requests that are no evidence yet, at a trickle above all
+FADE: Final = 0.8
+REFUSED_RATIO: Final = 5.0
+# --- further attempts, cold servers, the list
+RETRY_SHARE: Final = 0.1  # further attempts that may have cost work, a request
+RETRY_SAVED: Final = 5.0
+SECOND_AFTER: Final = 3.0  # usual latencies without an answer: a second copy may go out
+COLD_SLACK: Final = 0.5  # of the stated multiple: what one instance may send a cold server over its due
+COLD_BURST: Final = 2.0  # requests that a cold server may always get within the span
+WATCH_EARLY: Final = 0.3
+WATCH_SPACING_MS: Final = 25.0  # between the first calls of all instances, on average
+BACKOFF_MS, BACKOFF_MAX_MS = 500.0, 6_000.0
+WINDOW_MARGIN_MS: Final = 5.0
+
+MASK: Final = (1 << 64) - 1
+
+
+def mixed(data: int | str) -> int:
+    """A 64-bit hash that is the same in every process."""
+    raw = data.encode() if isinstance(data, str) else data.to_bytes(8, "big")
+    return int.from_bytes(hashlib.blake2b(raw, digest_size=8).digest(), "big")
+
+
+class FastTopK:
+    """Finds the top-k keys by coincidences among recent requests (section III.C of the paper)."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.capacity = FIFO_MIN
+        self.fifo: list[str] = []
+        self.counters: dict[str, float] = {}
+        self.historical: dict[str, float] = {}
+        self.prior: dict[str, float] = {}  # rate with which a key entered the historical list
+        self.compared = 0.0
+        self.seen = 0.0
+
+    def observe(self, key: str) -> None:
+        self.seen += 1
+        if key in self.historical:
+            self.historical[key] += 1
+            return
+        fifo = self.fifo
+        if fifo:
+            n, draw = len(fifo), self.rng.random
+            draws = min(n, COMPARISONS)
+            self.compared += draws
+            matches = sum([fifo[int(draw() * n)] == key for _ in range(draws)])
+            if matches:
+                self.counters[key] = self.counters.get(key, 0.0) + matches
+        fifo.append(key)
+        if len(fifo) > self.capacity:
+            del fifo[: len(fifo) - self.capacity]
+
+    def hot(self) -> dict[str, float]:
+        """The top k of both lists with their estimated rates, as shares of the traffic."""
+        rates = []
+        for key, count in self._top():
+            rates.append((math.sqrt(count / self.compared), key))
+        for key, count in self.historical.items():
+            rates.append(((count + PRIOR_REQUESTS * self.prior[key]) / (self.seen + PRIOR_REQUESTS), key))
+        rates.sort(reverse=True)
+        return {key: rate for rate, key in rates[:TOP_K]}
+
+    def _top(self) -> list[tuple[str, float]]:
+        known = [(k, n) for k, n in self.counters.items() if n >= MIN_MATCHES]
+        return sorted(known, key=lambda item: (-item[1], item[0]))[:TOP_K]
+
+    def switch(self) -> None:
+        hot = self.hot()
+        self.prior = hot
+        self.historical = dict.fromkeys(hot, 0.0)
+        self.counters = {}
+        self.compared = self.seen = 0.0
+
+    def normal(self) -> None:
+        """Normal mode again: the historical list is empty, its keys are counted like the others."""
+        self.historical, self.prior = {}, {}
+
+    def age(self) -> None:
+        """Halves all counts, so that the rates follow what is asked for now."""
+        self.counters = {k: n / 2 for k, n in self.counters.items() if n >= 1}
+        self.historical = {k: n / 2 for k, n in self.historical.items()}
+        self.compared /= 2
+        self.seen /= 2
+
+
+class Threshold:
+    """Compares own load with its own past and tells which mode it calls for."""
+
+    def __init__(self) -> None:
+        self.history: deque[float] = deque(maxlen=HISTORY)
+        self.load = 0.0
+        self.high = False
+
+    def sample(self, in_flight: int) -> bool:
+        """Adds a sample of own load; true while it is above the threshold, with hysteresis."""
+        self.load += 0.5 * (in_flight - self.load)
+        if len(self.history) >= HISTORY_MIN:
+            base = sorted(self.history)[int(PERCENTILE * (len(self.history) - 1))]
+            self.high = self.load > max(base * (LEAVE if self.high else ENTER), LOAD_FLOOR)
+        self.history.append(self.load)
+        return self.high
+
+
+class Throttle:
+    """Lets through no more than a little over what is answered in time (both counted lately)."""
+
+    __slots__ = ("asked", "good")
+
+    def __init__(self) -> None:
+        self.asked = self.good = 0.0
+
+    def count(self, good: bool) -> None:
+        self.asked += 1
+        self.good += good
+
+    def fade(self) -> None:
+        """Lets the past fade."""
+        self.asked *= FADE
+        self.good *= FADE
+
+    def pressure(self) -> float:
+        return max(0.0, (self.asked - TOLERANCE * self.good - CHANCE) / (self.asked + 1))
+
+
+class Node:
+    """One server as this balancer knows it."""
+
+    __slots__ = ("id", "salt", "member", "weight", "in_flight", "fails", "answered_at",
+                 "ejected_until", "pause", "cold_sent", "trial", "throttle", "newest")
+
+    def __init__(self, member: Member) -> None:
+        self.id = member.node
+        self.salt = mixed(member.node)
+        self.in_flight = 0
+        self.restart(member)
+
+    def restart(self, member: Member) -> None:
+        self.member = member
+        self.weight = 0.0
+        self.fails = 0
+        self.answered_at = self.newest = -math.inf
+        self.ejected_until = 0.0
+        self.pause = EJECT_MS
+        self.trial = False
+        self.cold_sent: deque[float] = deque()
+        self.throttle = Throttle()
+
+
+class Fleet:
+    """The servers, their order for each key, warm-up, load and health."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.nodes: dict[int, Node] = {}
+        self.ready: list[Node] = []
+        self.origin: Node | None = None
+        self.total_weight = 0.0
+        self.kind_weight: dict[str, float] = {}
+        self.kind_slow: dict[str, list[float]] = {}  # kind -> sum and count of relative latencies lately
+        self.class_latency: dict[str, float] = {}
+        self.memo: dict[str, list[Node]] = {}
+        self.in_flight = 0
+        self.cold_until = 0.0
+        self.warmed_at = self.learned_at = -math.inf
+
+    # -- the list
+    def update(self, now: float, event: Membership) -> None:
+        """Takes over a list or changes to it. A cached list may be stale, but it is all there is."""
+        if event.kind is ListKind.FAILED:
+            return
+        if event.kind is not ListKind.DELTA:
+            named = {m.node for m in event.members}
+            for node in self.nodes.values():
+                if node.id not in named:
+                    node.member = Member(node.id, State.GONE, node.member.kind, node.member.zone)
+        for member in event.members:
+            known = self.nodes.get(member.node)
+            if known is None:
+                self.nodes[member.node] = Node(member)
+            elif member.ready_at_ms > known.member.ready_at_ms and member.state is State.READY:
+                known.restart(member)
+            else:
+                known.member = member
+        kind = self.settings.origin_kind
+        live = [n for n in self.nodes.values() if n.member.state is State.READY]
+        self.origin = next((n for n in live if n.member.kind == kind), None) if kind is not None else None
+        self.ready = sorted((n for n in live if kind is None or n.member.kind != kind), key=lambda n: n.id)
+        self.cold_until = max((n.member.ready_at_ms for n in self.ready if n.member.ready_at_ms > 0),
+                              default=-math.inf) + self.settings.rules.cold_ms
+        self.reweigh(now)
+
+    def cold(self, node: Node, now: float) -> bool:
+        """Whether it started less than the stated warm-up ago."""
+        started, cold_ms = node.member.ready_at_ms, self.settings.rules.cold_ms
+        return started > 0 and cold_ms > 0 and now < started + cold_ms
+
+    def warmth(self, node: Node, now: float) -> float:
+        """The share of its capacity that a server has for certain, by the stated warm-up."""
+        rules, started = self.settings.rules, node.member.ready_at_ms
+        if not self.cold(node, now):
+            return 1.0
+        return rules.cold_share + (1 - rules.cold_share) * max(0.0, now - started) / rules.cold_ms
+
+    def reweigh(self, now: float) -> None:
+        self.warmed_at = now
+        for node in self.ready:
+            kind = self.kind_weight.get(node.member.kind, 1.0)
+            node.weight = max(node.member.size, 1e-6) * kind * self.warmth(node, now)
+        self.total_weight = sum(n.weight for n in self.ready)
+        self.memo.clear()
+
+    def tick(self, now: float) -> None:
+        """Warms up cold servers and corrects the weights of kinds."""
+        for node in self.ready:
+            node.throttle.fade()
+        if now >= self.learned_at + LEARN_MS:
+            self.learned_at = now
+            if self._learn():
+                self.reweigh(now)
+        if self.warmed_at < self.cold_until and now >= self.warmed_at + WARM_STEP_MS:
+            self.reweigh(now)
+
+    def _learn(self) -> bool:
+        means = {k: s / n for k, (s, n) in sorted(self.kind_slow.items()) if n >= LEARN_SURE ** 2}
+        if len(means) < 2:
+            return False
+        middle = sum(math.log(m) for m in means.values()) / len(means)
+        changed = False
+        for kind, mean in means.items():
+            off = math.log(mean) - middle
+            # At a trickle chance would let each instance's weights wander off, and with them the homes: acts
+            # only on what the number of answers proves, then counts afresh.
+            if abs(off) > max(LEARN_BAND, LEARN_SURE / math.sqrt(self.kind_slow[kind][1])):
+                weight = self.kind_weight.get(kind, 1.0) * math.exp(-LEARN_GAIN * off)
+                self.kind_weight[kind] = min(max(weight, LEARN_MIN), LEARN_MAX)
+                changed = True
+        for seen in self.kind_slow.values():
+            fading = 0.0 if changed else 0.5 if seen[1] > LEARN_KEEP else 1.0
+            seen[:] = [seen[0] * fading, seen[1] * fading]
+        return changed
+
+    # -- the order
+    def ranked(self, key: str, places: int) -> list[Node]:
+        """The first places of the weighted rendezvous order of a key."""
+        point, log = mixed(int(key, 16) & MASK if _hex(key) else mixed(key)), math.log
+        scored = []
+        for node in self.ready:
+            x = ((point ^ node.salt) * 0x9E3779B97F4A7C15) & MASK
+            x = ((x ^ (x >> 32)) * 0xD6E8FEB86659FD93) & MASK
+            scored.append((-log(((x >> 11) + 1) * 1.1102230246251565e-16) / node.weight, node.id, node))
+        scored.sort()
+        return [node for _, _, node in scored[:places]]
+
+    def order(self, key: str) -> list[Node]:
+        """The remembered head of a key's order."""
+        places = self.memo.get(key)
+        if places is None:
+            if len(self.memo) >= MEMO_MAX:
+                self.memo.clear()
+            places = self.memo[key] = self.ranked(key, PLACES)
+        return places
+
+    def share(self, node: Node) -> float:
+        """The part of all traffic that is due to a server."""
+        return node.weight / self.total_weight if self.total_weight > 0 else 1.0
+
+    def healthy(self, node: Node, now: float) -> bool:
+        """Not ejected, and no trial of an ejected one is out."""
+        return node.ejected_until <= now and not (node.trial and node.in_flight > 0)
+
+    def bounded(self, node: Node) -> bool:
+        """At its load bound: far over its due part of what this instance has in flight."""
+        return node.in_flight >= BOUND_MIN and node.in_flight > BOUND * self.in_flight * self.share(node) + 1
+
+    def overspent(self, node: Node, now: float, rate: float) -> bool:
+        """A cold server whose budget with this instance is spent: a short burst must not push it over."""
+        if not self.cold(node, now):
+            return False
+        rules, sent = self.settings.rules, node.cold_sent
+        while sent and sent[0] <= now - rules.fall_ms:
+            sent.popleft()
+        due = rate * rules.fall_ms * self.share(node)
+        return len(sent) >= max(COLD_BURST, COLD_SLACK * rules.overload_factor * due)
+
+    # -- what was seen
+    def sent(self, node: Node, now: float) -> None:
+        node.in_flight += 1
+        self.in_flight += 1
+        if self.cold(node, now):
+            node.cold_sent.append(now)
+
+    def ended(self, now: float, node: Node, outcome: Outcome, cls: RequestClass) -> None:
+        """An attempt ended: latencies and health follow from it."""
+        node.in_flight = max(0, node.in_flight - 1)
+        self.in_flight = max(0, self.in_flight - 1)
+        status = outcome.status
+        if status in (Status.OK, Status.ERROR, Status.FULL, Status.MISS):
+            node.answered_at = now  # whatever it says, it is alive
+            node.newest = max(node.newest, now - outcome.latency_ms)
+            node.fails, node.ejected_until, node.pause, node.trial = 0, 0.0, EJECT_MS, False
+        elif status is Status.CONNECT_FAILED or (
+                status in (Status.TIMEOUT, Status.RESET) and node.answered_at < now - outcome.latency_ms):
+            self._failed(now, node, status is Status.CONNECT_FAILED)
+        ratio = 0.0
+        if status is Status.OK and outcome.hit is not False:
+            mean = self.class_latency.get(cls.name, outcome.latency_ms)
+            self.class_latency[cls.name] = mean + SMOOTH * (outcome.latency_ms - mean)
+            ratio = min(outcome.latency_ms / max(mean, 0.1), REFUSED_RATIO)
+        elif status in (Status.FULL, Status.TIMEOUT):  # else a kind that answers little in time seems fast
+            ratio = REFUSED_RATIO
+        if ratio:
+            total = self.kind_slow.setdefault(node.member.kind, [0.0, 0.0])
+            total[0] += ratio
+            total[1] += 1
+
+    def _failed(self, now: float, node: Node, refused: bool) -> None:
+        """No sign of life. Servers that are merely slow look like this too, then many at once do: time-outs
+        alone eject only a part of the fleet; a connection that cannot be opened is proof enough."""
+        node.fails += 1
+        if node.fails < SUSPECT_AFTER or node.ejected_until > now:
+            return
+        silent = sum(1 for n in self.ready if n.ejected_until > now)
+        if refused or silent < QUIET_SHARE * len(self.ready):
+            node.ejected_until = now + node.pause
+            node.pause = min(node.pause * 2, EJECT_MAX_MS)
+            node.trial = True
+
+
+def _hex(key: str) -> bool:
+    return len(key) <= 16 and all(c in "0123456789abcdef" for c in key)
+
+
+class Pending:
+    """A request in hand: its attempts, and what the rules still allow for it."""
+
+    __slots__ = ("request", "cls", "out", "tried", "may_have_run", "attempts", "done", "streaming")
+
+    def __init__(self, request: Request, cls: RequestClass) -> None:
+        self.request, self.cls = request, cls
+        self.out: dict[int, tuple[Node, float]] = {}
+        self.tried: list[Node] = []
+        self.may_have_run: list[tuple[Node, float]] = []
+        self.attempts = 0
+        self.done = False
+        self.streaming = False
+
+    def ended(self, attempt: int, status: Status) -> None:
+        sent = self.out.pop(attempt, None)
+        if sent is not None and not status.never_ran:
+            self.may_have_run.append(sent)
+
+    def may_go(self, node: Node, now: float) -> bool:
+        if self.cls.effect is Effect.SAFE:
+            return True
+        earlier = [*self.may_have_run, *self.out.values()]
+        if self.cls.effect is Effect.UNSAFE or not earlier:
+            return not earlier
+        group, here = self.cls.group, node.member
+        for other, sent_at in earlier:
+            there = other.member
+            if now >= sent_at + self.cls.window_ms - WINDOW_MARGIN_MS:
+                return False
+            if group is not Group.ALL and there.zone != here.zone:
+                return False
+            if group is Group.CELL and there.cell != here.cell:
+                return False
+        return True
+
+    def may_refuse(self) -> bool:
+        if self.cls.effect is Effect.SAFE or not (self.may_have_run or self.out):
+            return True
+        return self.cls.effect is Effect.KEYED and self.cls.group is Group.ALL
+
+
+class Balancer:
+    """Decides what becomes of every request of one balancer."""
+
+    def __init__(self, settings: Settings, seed: int, now: float) -> None:
+        self.settings = settings
+        self.rng = random.Random(seed)
+        self.classes = {c.name: c for c in settings.classes}
+        self.fleet = Fleet(settings)
+        self.topk = FastTopK(self.rng)
+        self.threshold = Threshold()
+        self.pending: dict[int, Pending] = {}
+        self.factoring = False
+        self.spread: dict[str, tuple[int, float]] = {}
+        self.turn = 0
+        self.retries = RETRY_SAVED
+        self.throttle = Throttle()
+        self.mean_cost = 0.0  # work for worth of a usual request
+        self.arrivals = 0
+        self.rate = 0.0  # own requests, a millisecond
+        self.sampled_at = self.aged_at = now
+        self.started = False
+        self.backoff = BACKOFF_MS
+        self.actions: list[Action] = []
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Answers one event."""
+        self.actions = []
+        match event:
+            case Request():
+                self._request(now, event)
+            case Outcome():
+                self._outcome(now, event)
+            case Membership():
+                self._membership(now, event)
+            case Timer(token):
+                self._timer(now, token)
+            case ClientGone(request):
+                self._close(request)
+            case StreamStarted(request, attempt):
+                if request in self.pending:
+                    self.pending[request].streaming = True
+                    self._cancel(self.pending[request], attempt)
+        return self.actions
+
+    # -- the list of servers
+    def _membership(self, now: float, event: Membership) -> None:
+        self.fleet.update(now, event)
+        if not self.started:
+            self.started = True
+            self.actions.append(SetTimer(now + SAMPLE_MS, "sample"))
+            if self.settings.list_on_request:  # jitter: the list cannot answer every instance at once
+                early = min(WATCH_EARLY * self.settings.rules.ask_within_ms,
+                            WATCH_SPACING_MS * self.settings.balancers)
+                self.actions.append(SetTimer(now + self.rng.random() * early, "watch"))
+        elif event.kind is ListKind.FAILED:
+            if self.settings.list_on_request:
+                self.actions.append(SetTimer(now + self.backoff * (0.5 + self.rng.random()), "watch"))
+                self.backoff = min(self.backoff * 2, BACKOFF_MAX_MS)
+        else:
+            self.backoff = BACKOFF_MS
+
+    def _timer(self, now: float, token: str) -> None:
+        if token == "watch":
+            self.actions.append(Watch())
+        elif token.startswith("second "):
+            self._second(now, int(token[7:]))
+        elif token == "sample":
+            self.actions.append(SetTimer(now + SAMPLE_MS, "sample"))
+            self._sample(now)
+
+    # -- the mechanism
+    def _sample(self, now: float) -> None:
+        span = max(now - self.sampled_at, 1.0)
+        self.rate += 0.1 * (self.arrivals / span - self.rate) if self.rate else self.arrivals / span
+        self.arrivals, self.sampled_at = 0, now
+        self.fleet.tick(now)
+        self.throttle.fade()
+        self.topk.capacity = int(min(max(self.rate * FIFO_MS, FIFO_MIN), FIFO_MAX))
+        if now >= self.aged_at + AGE_MS:
+            self.aged_at = now
+            self.topk.age()
+        high = self.threshold.sample(self.fleet.in_flight)
+        needed = {key: self._needed(key, rate, high) for key, rate in self.topk.hot().items()}
+        factoring = high or any(n > 1 for n in needed.values())
+        if factoring and not self.factoring:
+            self.topk.switch()
+        elif self.factoring and not factoring:
+            self.topk.normal()
+        self.factoring = factoring
+        spread = {}
+        for key, servers in needed.items():
+            now_at, since = self.spread.get(key, (1, -math.inf))
+            if servers > now_at and now >= since + WIDEN_MS:
+                now_at, since = min(servers, now_at + max(1, now_at // 2)), now
+            elif servers < now_at and now >= since + WIDEN_MS:
+                now_at, since = now_at - 1, now
+            spread[key] = now_at, since
+        self.spread = spread
+
+    def _needed(self, key: str, rate: float, high: bool) -> int:
+        """How many servers a hot key needs. A key that is more than its home's due traffic swamps it below
+        every threshold of load: that counts as load by itself."""
+        room, servers = 0.0, 0
+        for node in self.fleet.order(key):
+            servers += 1
+            room += self.fleet.share(node)
+            if room * SWAMP >= rate:
+                break
+        else:
+            servers = max(servers, math.ceil(rate / SWAMP * len(self.fleet.ready)))
+        return max(servers, LOAD_SPREAD if high else 1)
+
+    def _candidates(self, now: float, request: Request) -> Iterable[Node]:
+        fleet = self.fleet
+        if request.key is None:
+            pair = self.rng.sample(fleet.ready, min(2, len(fleet.ready)))
+            return [*sorted(pair, key=lambda n: n.in_flight / max(n.weight, 1e-9)), *fleet.ready]
+        order = fleet.order(request.key)
+        width, _ = self.spread.get(request.key, (1, 0.0))
+        if not self.factoring or width < 2:
+            return order
+        order = fleet.ranked(request.key, len(fleet.ready))
+        head = [n for n in order if fleet.warmth(n, now) >= 1.0 and fleet.healthy(n, now)][:width]
+        if not head:
+            return order
+        self.turn += 1
+        first = self.turn % len(head)
+        return [*head[first:], *head[:first], *order]
+
+    def _pick(self, now: float, pending: Pending) -> Node | None:
+        """The first server in order that is allowed, healthy and under its bound; failing that, the first
+        that is allowed."""
+        fleet = self.fleet
+        fallback: Node | None = None
+
+        def allowed(node: Node) -> bool:
+            untried = node.member.state is State.READY and node not in pending.tried
+            return untried and pending.may_go(node, now)
+
+        for node in self._candidates(now, pending.request):
+            if not allowed(node):
+                continue
+            if fleet.healthy(node, now) and not fleet.overspent(node, now, self.rate):
+                if not fleet.bounded(node) and not self._held_back(node):
+                    return node
+                fallback = fallback or node
+        if fallback is not None:
+            return fallback
+        rest = [n for n in fleet.ready if allowed(n)]  # the remembered places are out
+        well = [n for n in rest if fleet.healthy(n, now) and not fleet.overspent(n, now, self.rate)]
+        return min(well or rest, key=lambda n: (n.in_flight, n.id)) if rest else None
+
+    def _held_back(self, node: Node) -> bool:
+        """A server that answers too little in time while the fleet at large does well: part of its requests
+        go to their next place. In trouble of the whole fleet nothing moves: that would only cost fetches."""
+        if self.throttle.pressure() > 0 or self.rng.random() >= node.throttle.pressure():
+            return False
+        node.throttle.count(False)
+        return True
+
+    def _request(self, now: float, request: Request) -> None:
+        self.arrivals += 1
+        if request.key is not None:
+            self.topk.observe(request.key)
+        cls = self.classes.get(request.cls)
+        if cls is None or request.id in self.pending:
+            if cls is None:
+                self.actions.append(Refuse(request.id))
+            return
+        pending = self.pending[request.id] = Pending(request, cls)
+        if self._shed(request, cls):
+            self.throttle.count(False)
+            self._finish(pending)
+            return
+        self.retries = min(self.retries + RETRY_SHARE, RETRY_SAVED)  # shed ones must earn no retries in a jam
+        if self.settings.origin_kind is not None and request.write:
+            self._send(now, pending, self.fleet.origin)
+        else:
+            self._send(now, pending, self._pick(now, pending))
+        usual = self.fleet.class_latency.get(cls.name)
+        if (pending.out and usual and SECOND_AFTER * usual < cls.aim_ms and cls.effect is not Effect.UNSAFE
+                and self.settings.limits.second_copies):
+            self.actions.append(SetTimer(now + SECOND_AFTER * usual, f"second {request.id}"))
+
+    def _second(self, now: float, request_id: int) -> None:
+        """A second copy where what was sent half the wait later is served: a queue would delay both."""
+        pending = self.pending.get(request_id)
+        if pending is None or pending.done or pending.streaming or len(pending.out) != 1 or self.retries < 1:
+            return
+        (first, sent_at), = pending.out.values()
+        more = pending.attempts < self.settings.limits.max_attempts and self.throttle.pressure() <= 0
+        node = self._pick(now, pending) if more and first.newest > (sent_at + now) / 2 else None
+        if node is not None:
+            self.retries -= 1
+            self._send(now, pending, node)
+
+    def _shed(self, request: Request, cls: RequestClass) -> bool:
+        by_work = self.settings.worth_by_work
+        work = 1.0 if by_work else max(self.fleet.class_latency.get(cls.name, cls.aim_ms), 0.1)
+        cost = work / max(cls.worth, 1e-3)
+        self.mean_cost += SMOOTH * (cost - self.mean_cost) if self.mean_cost else cost
+        passing = 1 - self.throttle.pressure()
+        # as a power, all classes together shed no more than the pressure, yet all of it if need be
+        return self.rng.random() >= math.pow(passing, cost / self.mean_cost)
+
+    def _send(self, now: float, pending: Pending, node: Node | None) -> None:
+        left = pending.request.deadline - now
+        usable = node is not None and node.member.state is State.READY and pending.may_go(node, now)
+        if node is None or not usable or left <= 0 or pending.attempts >= self.settings.limits.max_attempts:
+            self._finish(pending)
+            return
+        suspect = node.fails > 0 and pending.attempts + 1 < self.settings.limits.max_attempts
+        timeout = left * TRIAL_SHARE if suspect and pending.cls.effect is Effect.SAFE else None
+        pending.out[pending.attempts] = node, now
+        pending.attempts += 1
+        pending.tried.append(node)
+        self.fleet.sent(node, now)
+        self.actions.append(Send(pending.request.id, node.id, timeout))
+
+    def _outcome(self, now: float, outcome: Outcome) -> None:
+        pending = self.pending.get(outcome.id)
+        if pending is None or outcome.attempt not in pending.out:
+            return
+        node, _ = pending.out[outcome.attempt]
+        self.fleet.ended(now, node, outcome, pending.cls)
+        pending.ended(outcome.attempt, outcome.status)
+        in_time = outcome.status is Status.OK and outcome.latency_ms <= COMFORT * pending.cls.aim_ms
+        if outcome.status not in (Status.CANCELLED, Status.MOOT, Status.MISS):
+            node.throttle.count(in_time)
+            self.throttle.count(in_time)
+        if outcome.closed or outcome.status is Status.OK:
+            pending.done = True
+            self._cancel(pending)
+        if not pending.done and not pending.out and not pending.streaming:
+            self._further(now, pending, outcome.status)
+        if pending.done and not pending.out:
+            self.pending.pop(outcome.id, None)
+
+    def _further(self, now: float, pending: Pending, status: Status) -> None:
+        """A failed attempt: one more where it can still help and the budget has room, else the answer."""
+        if status is Status.MISS:
+            self._send(now, pending, self.fleet.origin)
+            return
+        if self.throttle.pressure() > 0 and not pending.request.write and not status.never_ran:
+            self._finish(pending)
+            return
+        if self.retries < 1 or pending.request.deadline - now <= self.settings.tick_ms:
+            self._finish(pending)
+            return
+        self.retries -= 1
+        if self.settings.origin_kind is not None and pending.request.write:
+            self._finish(pending)
+            return
+        self._send(now, pending, self._pick(now, pending))
+
+    def _finish(self, pending: Pending) -> None:
+        if not pending.done:
+            pending.done = True
+            refuse = pending.may_refuse()
+            self.actions.append(Refuse(pending.request.id) if refuse else Fail(pending.request.id))
+        if not pending.out:
+            self.pending.pop(pending.request.id, None)
+
+    def _close(self, request_id: int) -> None:
+        pending = self.pending.get(request_id)
+        if pending is not None:
+            pending.done = True
+            self._cancel(pending)
+            if not pending.out:
+                del self.pending[request_id]
+
+    def _cancel(self, pending: Pending, but: int = -1) -> None:
+        if self.settings.limits.cancel:
+            self.actions.extend(Cancel(pending.request.id, a) for a in pending.out if a != but)
--- /dev/null
+++ b/notchflow/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real proxy: sockets, framing and budgets around the decisions of notchflow.logic."""
--- /dev/null
+++ b/notchflow/net/config.py
@@ -0,0 +1,70 @@
+"""What a proxy is told at its start: the ROUTER_* variables and the JSON file that one of them names."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from notchflow import wire
+from notchflow.interface import Settings
+from notchflow.net.discovery import Address, Listing, decode_listing, parse_address
+
+CONN_IDLE_MS = 10_000.0
+MEMORY_MB, SOCKETS = 192.0, 1024
+
+
+class ConfigError(Exception):
+    """The configuration is missing or malformed; the text says where."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """The configuration of one proxy."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    settings: Settings
+    known: Listing
+    report_fields: tuple[str, ...] = ()
+    conn_idle_ms: float = CONN_IDLE_MS
+    memory_mb: float = MEMORY_MB
+    sockets: int = SOCKETS
+
+
+def load(env: Mapping[str, str]) -> Config:
+    """Reads the configuration; the variables come before the file."""
+    path = env.get("ROUTER_CONFIG")
+    if not path:
+        raise ConfigError("ROUTER_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            data = json.load(file)
+    except OSError as error:
+        raise ConfigError(f"ROUTER_CONFIG: {error}") from None
+    except ValueError as error:
+        raise ConfigError(f"ROUTER_CONFIG: {path}: not JSON ({error})") from None
+    if not isinstance(data, dict):
+        raise ConfigError(f"ROUTER_CONFIG: {path}: expected an object")
+    try:
+        return _decode(data, env)
+    except (wire.WireError, ValueError, TypeError, AttributeError, KeyError) as error:
+        raise ConfigError(f"ROUTER_CONFIG: {path}: {error!s:.300}") from None
+
+
+def _decode(data: Mapping[str, Any], env: Mapping[str, str]) -> Config:
+    settings, report_fields = wire.decode_settings(json.dumps(data.get("settings")))
+    limits = {}
+    seed = data.get("seed", 0)
+    return Config(
+        name=str(env.get("ROUTER_NAME") or data.get("name") or ""),
+        listen=parse_address(env.get("ROUTER_LISTEN") or data.get("listen")),
+        discovery=parse_address(env.get("ROUTER_DISCOVERY") or data.get("discovery")),
+        seed=int(seed, 16) if isinstance(seed, str) else int(seed),
+        settings=settings, report_fields=report_fields,
+        known=decode_listing(data["known"]) if data.get("known") else Listing(0, True, (), {}),
+        conn_idle_ms=float((data["settings"].get("Limits") or {}).get("ConnIdleMs", CONN_IDLE_MS)),
+        memory_mb=float(limits.get("memory_mb", MEMORY_MB)), sockets=int(limits.get("sockets", SOCKETS)))
--- /dev/null
+++ b/notchflow/net/downstream.py
@@ -0,0 +1,506 @@
+"""Downstream connections: clients' requests parsed, answers written, backpressure both ways."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import socket
+from collections import deque
+from typing import TYPE_CHECKING, Any, cast
+
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+
+from notchflow.net.upstream import HOP_BY_HOP, Answer
+
+if TYPE_CHECKING:
+    from notchflow.net.host import Host, Open
+
+log = logging.getLogger(__name__)
+
+HEAD_MAX = 32 << 10
+BODY_MAX = 32 << 20
+BUDGET_MAX_MS = 60_000.0
+WAITING_MAX = 16
+ACCEPTS_PER_TURN = 64
+BACKLOG = 4_096
+IDLE_MS = 75_000.0
+STALLED_MS = 10_000.0
+LINGER_MS = 2_000.0
+SERVED_SHARE = 0.75
+READ = frozenset({b"x-call-id", b"x-call-class", b"x-caller", b"x-budget", b"x-again", b"x-call-cost",
+                  b"x-call-info", b"expect"})
+REPLACED = frozenset({b"x-budget", b"expect"})
+PREFIX = b"/api/"
+READY = b"/health/ready"
+REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+           413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
+           503: b"Service Unavailable", 504: b"Gateway Timeout"}
+
+
+class Call:
+    """One request as a client sent it."""
+
+    __slots__ = ("client", "method", "url", "fields", "passed", "body", "size", "charged", "spilled",
+                 "keep", "chunks_allowed", "arrived_at", "open", "fault")
+
+    def __init__(self, client: Client) -> None:
+        self.client = client
+        self.method = self.url = b""
+        self.fields: dict[bytes, bytes] = {}
+        self.passed: list[bytes] = []
+        self.body: list[bytes] = []
+        self.size = 0
+        self.charged = 0  # bytes counted as held
+        self.spilled = False
+        self.keep = False
+        self.chunks_allowed = True
+        self.arrived_at = 0.0
+        self.open: Open | None = None
+        self.fault = 0  # the status that a request which never reaches the module is answered with
+
+    def release(self) -> None:
+        self.client.host.held -= self.charged
+        self.charged = 0
+        self.body = []
+
+
+class Client(asyncio.Protocol):
+    """A client's connection."""
+
+    __slots__ = ("front", "host", "transport", "parser", "arriving", "in_head", "head_size", "waiting",
+                 "current", "stepping", "paused", "half_closed", "closing", "chunked", "charged", "active_at")
+
+    def __init__(self, front: Front) -> None:
+        self.front = front
+        self.host: Host = front.host
+        self.transport: asyncio.Transport | None = None
+        self.parser: HttpRequestParser | None = None
+        self.arriving: Call | None = None
+        self.in_head = False
+        self.head_size = 0
+        self.waiting: deque[Call] = deque()
+        self.current: Call | None = None
+        self.stepping = False
+        self.paused = False
+        self.half_closed = False
+        self.closing = False
+        self.chunked = False
+        self.charged = 0
+        self.active_at = 0.0
+
+    # -- the transport's callbacks
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.parser = HttpRequestParser(self)
+        self.active_at = self.host.clock.turn()
+        self.front.clients[self] = None
+        self.front.idle[self] = None
+
+    def data_received(self, data: bytes) -> None:
+        self.active_at = self.host.clock.turn()
+        if self.closing or self.parser is None:
+            return  # what follows a fault is read and dropped, so that its answer is not lost to a reset
+        self.front.idle.pop(self, None)
+        try:
+            self.parser.feed_data(data)
+        except HttpParserUpgrade:
+            self.closing = True  # the request stands, in plain HTTP; what follows it cannot be read
+        except HttpParserError as error:
+            log.info("malformed request: %s", error)
+            self._fault(400)
+        if self.in_head:
+            self.head_size += len(data)
+            if self.head_size > HEAD_MAX:
+                self._fault(431)
+        self._step()
+
+    def eof_received(self) -> bool:
+        self.half_closed = True
+        if self.current is None and not self.waiting:
+            return False
+        self.closing = True
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = self.parser = None
+        self.closing = True
+        self.host.held -= self.charged
+        self.charged = 0
+        calls = [c for c in (self.current, self.arriving, *self.waiting) if c is not None]
+        self.current = self.arriving = None
+        self.waiting.clear()
+        for call in calls:
+            call.release()
+            if call.open is not None:
+                self.host.client_gone(call.open)
+        self.front.lost(self)
+
+    def pause_writing(self) -> None:
+        self.paused = True
+        if self.transport is not None:
+            self._charge(self.transport.get_write_buffer_size())
+        if self.current is not None and self.current.open is not None:
+            self.host.pause(self.current.open, True)
+
+    def resume_writing(self) -> None:
+        self.paused = False
+        self.active_at = self.host.clock.turn()
+        self._charge(0)
+        if self.current is not None and self.current.open is not None:
+            self.host.pause(self.current.open, False)
+        self._step()
+
+    def _charge(self, size: int) -> None:
+        self.host.held += size - self.charged
+        self.charged = size
+
+    # -- the parser's callbacks
+    def on_message_begin(self) -> None:
+        self.arriving = Call(self)
+        self.in_head, self.head_size = True, 0
+
+    def on_url(self, url: bytes) -> None:
+        if self.arriving is not None:
+            self.arriving.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        call, low = self.arriving, name.lower()
+        if call is None or not self.in_head:
+            return  # trailers
+        if low in READ:
+            call.fields[low] = value
+            if low not in REPLACED:
+                call.passed.append(b"%b: %b\r\n" % (name, value))
+        elif low in HOP_BY_HOP:
+            call.fields[low] = value
+        else:
+            call.passed.append(b"%b: %b\r\n" % (name, value))
+
+    def on_headers_complete(self) -> None:
+        call, parser = self.arriving, self.parser
+        if call is None or parser is None:
+            return
+        self.in_head = False
+        call.method = parser.get_method()
+        call.chunks_allowed = parser.get_http_version() == "1.1"
+        call.keep = call.chunks_allowed and parser.should_keep_alive()
+        named = call.fields.get(b"connection")
+        if named is not None and b"," in named or named and named.lower() not in (b"keep-alive", b"close"):
+            drop = tuple(t.strip().lower() + b":" for t in named.split(b","))
+            call.passed = [line for line in call.passed if not line.lower().startswith(drop)]
+        length = int(call.fields.get(b"content-length", 0))
+        if length > BODY_MAX:
+            self._fault(413)
+        elif b"expect" in call.fields and call.fields[b"expect"].lower() == b"100-continue":
+            if self.current is None and not self.waiting and self.transport is not None:
+                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        call = self.arriving
+        if call is None:
+            return
+        call.size += len(data)
+        if call.size > BODY_MAX:
+            self._fault(413)
+        elif not call.spilled:
+            if self.host.held + len(data) > self.host.held_max:
+                call.spilled = True
+                call.release()
+            else:
+                self.host.held += len(data)
+                call.charged += len(data)
+                call.body.append(data)
+
+    def on_message_complete(self) -> None:
+        call, self.arriving = self.arriving, None
+        if call is None:
+            return
+        call.arrived_at = self.host.clock.turn()
+        if call.size or call.method == b"PUT":
+            call.passed.append(b"Content-Length: %d\r\n" % call.size)
+        self.waiting.append(call)
+        if len(self.waiting) >= WAITING_MAX and self.transport is not None:
+            self.transport.pause_reading()
+
+    def _fault(self, status: int) -> None:
+        """What comes is no request that can be answered otherwise; nothing after it can be read."""
+        if self.closing:
+            return
+        self.closing = True
+        call = self.arriving or Call(self)
+        self.arriving, self.in_head = None, False
+        call.release()
+        call.fault, call.keep = status, False
+        self.waiting.append(call)
+
+    # -- one request after the other
+    def _step(self) -> None:
+        if self.stepping:
+            return
+        self.stepping = True
+        while self.waiting and self.current is None and not self.paused and self.transport is not None:
+            call = self.current = self.waiting.popleft()
+            if not self.waiting:
+                self.transport.resume_reading()
+            try:
+                self._begin(call)
+            except Exception:
+                log.exception("a request failed")
+                self.fail(call, 502)
+        self.stepping = False
+
+    def _begin(self, call: Call) -> None:
+        if call.fault:
+            self.fail(call, call.fault)
+            return
+        path = call.url.partition(b"?")[0]
+        if path == READY:
+            self._write(call, 503 if self.front.draining else 200, [], [], 0)
+            return
+        key = path.rpartition(b"/")[2]
+        if not path.startswith(PREFIX) or not key:
+            self.fail(call, 404)
+        elif call.method not in (b"GET", b"PUT"):
+            self.fail(call, 405)
+        elif call.spilled:
+            log.warning("memory is short: a request is refused")
+            self.refuse(call, 0.0)
+        else:
+            self._request(call, key.decode("latin-1"))
+
+    def _request(self, call: Call, key: str) -> None:
+        fields = call.fields
+        try:
+            if not fields.get(b"x-call-id"):
+                raise ValueError("no X-Call-Id")
+            budget = _number(fields, b"x-budget", 1e3)
+            hint = _number(fields, b"x-call-cost", 1e-3)
+        except ValueError:
+            self.fail(call, 400)
+            return
+        info = fields.get(b"x-call-info")
+        self.host.request(
+            call, fields.get(b"x-call-class", b"").decode("latin-1"),
+            None if budget is None else min(budget, BUDGET_MAX_MS), key=key,
+            tenant=fields[b"x-caller"].decode("latin-1") if fields.get(b"x-caller") else None, hint_ms=hint,
+            size=_info_size(info) if info else None, retry=fields.get(b"x-again") == b"1",
+            write=call.method == b"PUT")
+
+    def serve(self, call: Call, answer: Answer) -> None:
+        self._write(call, 200, answer.passed, answer.body, answer.size)
+
+    def refuse(self, call: Call, retry_after_ms: float) -> None:
+        extra = [b"Retry-After: %.3f\r\n" % (retry_after_ms / 1e3)] if retry_after_ms > 0 else []
+        self._write(call, 503, extra, [], 0)
+
+    def fail(self, call: Call, status: int) -> None:
+        """Failed, with no promise."""
+        self._write(call, status, [], [], 0)
+
+    def _write(self, call: Call, status: int, headers: list[bytes], body: list[bytes], size: int) -> None:
+        if self.transport is None or self.current is not call:
+            return
+        end = b"" if self._keeps(call) else b"Connection: close\r\n"
+        self.transport.writelines([b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n" % (
+            status, REASONS[status], b"".join(headers), size, end), *body])
+        self._answered(call, not end)
+
+    def _keeps(self, call: Call) -> bool:
+        last = self.closing and not self.waiting
+        return call.keep and not last and not self.front.draining
+
+    def _answered(self, call: Call, keep: bool) -> None:
+        call.release()
+        self.current = None
+        self.active_at = self.host.clock.turn()
+        if self.transport is None:
+            return
+        if not keep or self.front.draining:
+            self.closing = True
+            self.waiting.clear()
+            if call.fault and not self.half_closed:
+                self.transport.write_eof()
+            else:
+                self.transport.close()
+        elif self.waiting:
+            self._step()
+        elif self.arriving is None:
+            self.front.idle[self] = None
+
+    def begin_stream(self, call: Call, answer: Answer) -> None:
+        if self.transport is None:
+            return
+        self.chunked = answer.length is None and call.chunks_allowed
+        if answer.length is None and not self.chunked:
+            call.keep = False
+        framing = (b"Content-Length: %d\r\n" % answer.length if answer.length is not None
+                   else b"Transfer-Encoding: chunked\r\n" if self.chunked else b"")
+        call.keep = self._keeps(call)
+        self.transport.write(b"HTTP/1.1 200 OK\r\n%b%b%b\r\n" % (
+            b"".join(answer.passed), framing, b"" if call.keep else b"Connection: close\r\n"))
+        for data in answer.body:
+            self.stream(data)
+
+    def stream(self, data: bytes) -> None:
+        """A part of a long answer."""
+        if self.transport is None:
+            return
+        if self.chunked:
+            self.transport.writelines([b"%x\r\n" % len(data), data, b"\r\n"])
+        else:
+            self.transport.write(data)
+
+    def end_stream(self, call: Call, whole: bool) -> None:
+        if self.transport is None:
+            return
+        if not whole:
+            self.transport.abort()
+            return
+        if self.chunked:
+            self.transport.write(b"0\r\n\r\n")
+        self._answered(call, call.keep)
+
+    def close_if_over(self, now: float) -> None:
+        if self.transport is None:
+            return
+        quiet = now - self.active_at
+        busy = self.current is not None and not self.paused
+        if self.closing and not busy and not self.waiting and quiet > LINGER_MS:
+            self.transport.abort()
+        elif self.paused and quiet > STALLED_MS:
+            self.transport.abort()
+        elif not busy and quiet > (STALLED_MS if self.arriving is not None else IDLE_MS):
+            self.transport.close()
+
+
+class Front:
+    """The listener and its clients."""
+
+    def __init__(self, host: Host, address: tuple[str, int]) -> None:
+        self.host = host
+        self.address = address
+        self.listener: socket.socket | None = None
+        self.clients: dict[Client, None] = {}
+        self.idle: dict[Client, None] = {}
+        self.accepting = False
+        self.backlog_empty = False
+        self.draining = False
+        self.adopting: set[asyncio.Task[Any]] = set()
+
+    def listen(self) -> None:
+        """Opens the listener."""
+        self.listener = socket.socket(socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.setblocking(False)
+        self.listener.bind(self.address)
+        self.listener.listen(BACKLOG)
+        self.resume()
+
+    def resume(self) -> None:
+        """Accepts again, if there is a listener and room."""
+        if not self.accepting and self.listener is not None:
+            self.accepting = True
+            self.host.loop.add_reader(self.listener, self._accept)
+
+    def _pause(self) -> None:
+        if self.accepting and self.listener is not None:
+            self.accepting = False
+            self.host.loop.remove_reader(self.listener)
+
+    def _room(self) -> bool:
+        host = self.host
+        count = len(self.clients) + len(self.adopting)
+        if host.used < host.descriptors and count < SERVED_SHARE * host.descriptors:
+            return True
+        return self.close_idle()
+
+    def close_idle(self) -> bool:
+        for client in self.idle:
+            del self.idle[client]
+            client.closing = True
+            if client.transport is not None:
+                client.transport.close()
+            return True
+        return False
+
+    def _accept(self) -> None:
+        listener = self.listener
+        self.backlog_empty = False
+        for _ in range(ACCEPTS_PER_TURN):
+            if listener is None:
+                return
+            if not self._room():
+                self._pause()
+                log.warning("no descriptors left: accepting pauses")
+                return
+            try:
+                sock, _address = listener.accept()
+            except BlockingIOError:
+                self.backlog_empty = True
+                return
+            except OSError as error:
+                log.warning("accept failed: %s", error)
+                self._pause()
+                self.host.at(self.host.clock.now() + 50.0, lambda _: self.resume())
+                return
+            sock.setblocking(False)
+            self.host.used += 1
+            task = self.host.loop.create_task(self._adopt(sock))
+            self.adopting.add(task)
+            task.add_done_callback(self.adopting.discard)
+
+    async def _adopt(self, sock: socket.socket) -> None:
+        try:
+            await self.host.loop.connect_accepted_socket(lambda: Client(self), sock)
+        except OSError:
+            sock.close()
+            self.host.freed()
+
+    def close(self) -> bool:
+        if self.listener is not None:
+            self._accept()
+            if self.backlog_empty:
+                self.shut()
+        if self.listener is None and not self.adopting:
+            while self.close_idle():
+                pass
+        return self.listener is None and not self.adopting and not self.clients
+
+    def shut(self) -> None:
+        """Closes the listener."""
+        if self.listener is not None:
+            self._pause()
+            self.listener.close()
+            self.listener = None
+
+    def lost(self, client: Client) -> None:
+        self.clients.pop(client, None)
+        self.host.freed()
+
+    def sweep(self, now: float) -> None:
+        for client in list(self.clients):
+            client.close_if_over(now)
+
+
+def _number(fields: dict[bytes, bytes], name: bytes, factor: float) -> float | None:
+    """A finite number of a header, if it is there."""
+    raw = fields.get(name)
+    if raw is None:
+        return None
+    value = float(raw) * factor
+    if not math.isfinite(value):
+        raise ValueError("not finite")
+    return value
+
+
+def _info_size(info: bytes) -> float | None:
+    """The value's size among the further figures of a request."""
+    for pair in info.split(b","):
+        name, _, value = pair.partition(b"=")
+        if name.strip() == b"size":
+            try:
+                return float(value)
+            except ValueError:
+                return None
+    return None
--- /dev/null
+++ b/notchflow/net/host.py
@@ -0,0 +1,390 @@
+"""The host: owns the Balancer, hands it what happens and carries out what it decides.
+
+Here a request gets its one final answer, and deadlines are kept whatever the module does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from heapq import heappop, heappush
+from typing import Any
+
+from notchflow.interface import (
+    Action,
+    Cancel,
+    ClientGone,
+    Event,
+    Fail,
+    ListKind,
+    Membership,
+    Outcome,
+    Probe,
+    Probed,
+    Refuse,
+    Request,
+    Send,
+    SetTimer,
+    State,
+    Status,
+    StreamStarted,
+    Timer,
+    Watch,
+)
+from notchflow.logic import Balancer
+from notchflow.net.config import Config
+from notchflow.net.discovery import Discovery, Listing
+from notchflow.net.downstream import Call, Front
+from notchflow.net.upstream import Answer, Attempt, IdleLimit, Pool, load_report
+
+log = logging.getLogger(__name__)
+
+LATE_MS = 2.0
+SWEEP_MS = 500.0
+STALL_MS = 2_000.0
+RESERVED = 24  # descriptors for the log, the loop, the listener and discovery
+BASE_MB = 48.0
+HELD_SHARE = 0.6  # of the rest may be bodies and answers held; the remainder is for buffers on their way
+ACCEPT_ON_MS = 500.0
+# No kill comes before the longest deadline and 0.7 s: by then the answers are out, and the process has ended.
+ANSWER_BY_MS, STOP_BY_MS = 400.0, 550.0
+DRAIN_STEP_MS = 20.0
+
+
+class Clock:
+    """Unix time in milliseconds at the start, then monotonic: steps of the wall clock do no harm."""
+
+    __slots__ = ("base", "loop")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.base = (time.time() - time.monotonic()) * 1e3
+
+    def now(self) -> float:
+        """The present moment."""
+        return self.base + time.monotonic() * 1e3
+
+    def turn(self) -> float:
+        return self.base + self.loop.time() * 1e3
+
+
+class Open:
+    """A request in hand and its attempts."""
+
+    __slots__ = ("id", "call", "deadline", "attempts", "out", "done", "streaming", "last")
+
+    def __init__(self, number: int, call: Call, deadline: float) -> None:
+        self.id = number
+        self.call = call
+        self.deadline = deadline
+        self.attempts = 0
+        self.out: dict[int, Attempt] = {}
+        self.done = False
+        self.streaming: Attempt | None = None
+        self.last: Status | None = None
+
+
+class Host:
+    """One proxy."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        self.config, self.loop = config, loop
+        self.clock = Clock(loop)
+        self.settings = config.settings
+        self.balancer = Balancer(config.settings, config.seed, self.clock.now())
+        self.classes = {c.name: c.deadline_ms for c in config.settings.classes}
+        self.longest_ms = max(self.classes.values())
+        self.idle_limit = IdleLimit(config.conn_idle_ms)
+        self.open: dict[int, Open] = {}
+        self.numbers = 0
+        self.pools: dict[int, Pool] = {}
+        self.inbox: deque[Event] = deque()
+        self.telling = False
+        self.timers: list[tuple[float, int, Callable[..., None], Any]] = []
+        self.timer_count = 0
+        self.armed: asyncio.TimerHandle | None = None
+        self.armed_for = float("inf")
+        self.descriptors = max(config.sockets - RESERVED, 8)
+        self.used = 0
+        self.held_max = max(config.memory_mb - BASE_MB, 16.0) * HELD_SHARE * (1 << 20)
+        self.held = 0
+        self.answer_by = float("inf")  # no request is held longer than this, once the process is to end
+        self.stop_by = float("inf")
+        self.front = Front(self, config.listen)
+        self.discovery = Discovery(self, config.discovery, config.known.revision)
+
+    # -- life
+    def start(self) -> None:
+        """Tells the module the list as it was last known, then listens."""
+        self.apply(self.config.known, ListKind.CACHED)
+        if not self.settings.list_on_request:
+            self.discovery.watch(True)
+        self.at(self.clock.now() + SWEEP_MS, self._sweep)
+        self.front.listen()
+
+    def stop(self) -> None:
+        if self.front.draining:
+            return
+        log.info("draining")
+        now = self.clock.now()
+        self.front.draining = True
+        self.answer_by = now + self.longest_ms + ANSWER_BY_MS
+        self.stop_by = now + self.longest_ms + STOP_BY_MS
+        self.at(now + ACCEPT_ON_MS, self._drain)
+
+    def _drain(self, _: object = None) -> None:
+        now = self.clock.now()
+        if self.front.close() or now >= self.stop_by:
+            self.loop.stop()
+        else:
+            self.at(now + DRAIN_STEP_MS, self._drain)
+
+    def _sweep(self, _: object = None) -> None:
+        now = self.clock.now()
+        self.at(now + SWEEP_MS, self._sweep)
+        self.idle_limit.fade(now)
+        for node, pool in list(self.pools.items()):
+            pool.sweep(now)
+            if pool.retired and not pool.dials:
+                del self.pools[node]
+        for item in list(self.open.values()):
+            attempt = item.streaming
+            if attempt is None or attempt.connection is None or item.call.client.paused:
+                continue
+            if attempt.connection.heard_at + STALL_MS < now:
+                attempt.abandon(Status.RESET)
+        self.front.sweep(now)
+
+    # -- time
+    def at(self, due: float, call: Callable[..., None], argument: Any = None) -> None:
+        """Calls back at a time, never before. What is no longer of interest is simply ignored then."""
+        self.timer_count += 1
+        heappush(self.timers, (due, self.timer_count, call, argument))
+        if due < self.armed_for:
+            self._arm(due)
+
+    def soon(self, call: Callable[..., None], argument: Any) -> None:
+        self.loop.call_soon(call, argument)
+
+    def _arm(self, due: float) -> None:
+        if self.armed is not None:
+            self.armed.cancel()
+        self.armed_for = due
+        self.armed = self.loop.call_later(max(due - self.clock.now(), 0.0) / 1e3, self._run_timers, due)
+
+    def _run_timers(self, due: float, again: bool = False) -> None:
+        now = self.clock.now()
+        if not again and now > due + LATE_MS:
+            # The loop was busy: answers may be waiting in the kernel, and nodes must not be blamed for that.
+            self.armed = self.loop.call_later(0.001, self._run_timers, due, True)
+            return
+        timers = self.timers
+        while timers and timers[0][0] <= now:
+            _, _, call, argument = heappop(timers)
+            try:
+                call(argument)
+            except Exception:
+                log.exception("a timer failed")
+        self.armed, self.armed_for = None, float("inf")
+        if timers:
+            self._arm(timers[0][0])
+
+    # -- budgets
+    def descriptor(self) -> bool:
+        if self.used >= self.descriptors and not self._spare():
+            return False
+        self.used += 1
+        return True
+
+    def freed(self) -> None:
+        self.used -= 1
+        self.front.resume()
+
+    def _spare(self) -> bool:
+        idle = [p for p in self.pools.values() if p.idle]
+        if idle:
+            pool = min(idle, key=lambda p: p.idle[0].idle_since)
+            pool.idle.pop(0).close()
+            return True
+        return self.front.close_idle()
+
+    # -- the module
+    def tell(self, event: Event) -> None:
+        self.inbox.append(event)
+        if self.telling:
+            return
+        self.telling = True
+        while self.inbox:
+            event = self.inbox.popleft()
+            try:
+                for action in self.balancer.handle(self.clock.now(), event):
+                    self._perform(action)
+            except Exception:  # costs this one request at most, never the process
+                log.exception("the module failed on %s", type(event).__name__)
+                self._give_up(event)
+        self.telling = False
+
+    def _give_up(self, event: Event) -> None:
+        number = getattr(event, "id", None)
+        item = self.open.get(number) if number is not None else None
+        if item is not None and not item.done:
+            self._fail(item)
+            if not isinstance(event, ClientGone):
+                self.inbox.append(ClientGone(item.id))
+
+    def _perform(self, action: Action) -> None:
+        match action:
+            case Send(number, node, timeout):
+                self._send(number, node, timeout)
+            case Refuse(number, wait):
+                item = self.open.get(number)
+                if item is not None and not item.done:
+                    self._end(item)
+                    item.call.client.refuse(item.call, wait)
+            case Fail(number):
+                item = self.open.get(number)
+                if item is not None:
+                    self._fail(item)
+            case Cancel(number, attempt):
+                item = self.open.get(number)
+                out = item.out.get(attempt) if item is not None else None
+                if out is not None and self.settings.limits.cancel and not out.started:
+                    out.abandon(Status.CANCELLED)
+            case SetTimer(at, token):
+                self.at(at, self._timer, token)
+            case Watch(on):
+                self.discovery.watch(on)
+            case Probe(node):
+                self.inbox.append(Probed(node, Status.MOOT))
+
+    def _timer(self, token: str) -> None:
+        self.tell(Timer(token))
+
+    def _send(self, number: int, node: int, timeout: float | None) -> None:
+        item = self.open.get(number)
+        if item is None:
+            log.error("the module sent a request that is over")
+            return
+        attempt_number, item.attempts = item.attempts, item.attempts + 1
+        pool, now = self.pools.get(node), self.clock.now()
+        moot = (item.done or item.streaming is not None or now >= item.deadline or pool is None
+                or attempt_number >= self.settings.limits.max_attempts
+                or (item.out and not self.settings.limits.second_copies))
+        if moot or pool is None:
+            self.inbox.append(Outcome(number, attempt_number, node, Status.MOOT, closed=item.done))
+            return
+        expires = item.deadline if timeout is None else min(item.deadline, now + timeout)
+        attempt = Attempt(self, item, attempt_number, node, pool, now, expires)
+        item.out[attempt_number] = attempt
+        if expires < item.deadline:
+            self.at(expires, self._expire, attempt)
+        pool.send(attempt)
+
+    def _expire(self, attempt: Attempt) -> None:
+        if not attempt.over and not attempt.started:
+            attempt.abandon(Status.TIMEOUT)
+
+    def apply(self, listing: Listing, kind: ListKind) -> None:
+        """Takes over a list: where the nodes are for the pools, the rest for the module."""
+        addresses = listing.addresses or {}
+        for member in listing.members:
+            pool = self.pools.get(member.node)
+            if member.state is State.GONE:
+                if pool is not None:
+                    pool.retire()
+                continue
+            address = addresses[member.node]
+            if pool is None or pool.retired or pool.address != address:
+                if pool is not None:
+                    pool.retire()
+                limit = self.settings.limits.connect_timeout_ms
+                self.pools[member.node] = Pool(self, address, limit, self.idle_limit)
+        if kind is not ListKind.DELTA:
+            for node in self.pools.keys() - addresses.keys():
+                self.pools[node].retire()
+        self.tell(Membership(kind, listing.members, listing.revision))
+
+    # -- the life of a request
+    def request(self, call: Call, cls: str, budget_ms: float | None, **more: Any) -> None:
+        if budget_ms is None:
+            budget_ms = self.classes.get(cls, self.longest_ms)
+        self.numbers += 1
+        item = Open(self.numbers, call, min(call.arrived_at + budget_ms, self.answer_by))
+        call.open = item
+        if item.deadline <= self.clock.now():
+            item.last = Status.TIMEOUT
+            self._fail(item)
+            return
+        self.open[item.id] = item
+        self.at(item.deadline, self._deadline, item)
+        self.tell(Request(item.id, cls, item.deadline, **more))
+
+    def _deadline(self, item: Open) -> None:
+        if item.streaming is not None or (item.done and not item.out):
+            return
+        for attempt in list(item.out.values()):
+            attempt.abandon(Status.TIMEOUT)
+        if not item.done:  # the module held it too long
+            self._fail(item)
+            self.tell(ClientGone(item.id))
+
+    def client_gone(self, item: Open) -> None:
+        if item.done:
+            return
+        self._end(item)
+        if item.streaming is not None:
+            item.streaming.abandon(Status.CANCELLED)
+        self.tell(ClientGone(item.id))
+
+    def stream_started(self, attempt: Attempt, answer: Answer) -> bool:
+        item = attempt.open
+        if item.done or item.streaming is not None:
+            return False
+        item.streaming = attempt
+        item.call.client.begin_stream(item.call, answer)
+        self.tell(StreamStarted(item.id, attempt.number, attempt.node))
+        return True
+
+    def pause(self, item: Open, paused: bool) -> None:
+        connection = item.streaming.connection if item.streaming else None
+        if connection is not None and connection.transport is not None:
+            if paused:
+                connection.transport.pause_reading()
+            else:
+                connection.heard_at = self.clock.now()
+                connection.transport.resume_reading()
+
+    def outcome(self, attempt: Attempt, status: Status, answer: Answer | None) -> None:
+        """An attempt has ended. The first 200 and the end of a stream are the request's final answer."""
+        item = attempt.open
+        item.out.pop(attempt.number, None)
+        item.last = status
+        if not item.done:
+            client, call = item.call.client, item.call
+            if attempt.started:
+                self._end(item)
+                client.end_stream(call, status is Status.OK)
+            elif status is Status.OK and answer is not None:
+                self._end(item)
+                client.serve(call, answer)
+        ended = answer.begun_at if answer is not None else self.clock.turn()
+        hit = answer.fields.get(b"x-hit") if answer is not None else None
+        load = load_report(answer, self.config.report_fields) if answer is not None else None
+        if item.done and not item.out:
+            self.open.pop(item.id, None)
+        self.tell(Outcome(item.id, attempt.number, attempt.node, status, max(ended - attempt.begun_at, 0.0),
+                          item.done, None if hit is None else hit == b"hit", load))
+
+    def _fail(self, item: Open) -> None:
+        if not item.done:
+            self._end(item)
+            late = item.last is Status.TIMEOUT or self.clock.now() >= item.deadline
+            item.call.client.fail(item.call, 504 if late else 502)
+
+    def _end(self, item: Open) -> None:
+        item.done = True
+        if not item.out:
+            self.open.pop(item.id, None)
--- /dev/null
+++ b/notchflow/wire.py
@@ -0,0 +1,254 @@
+"""The codec between the simulator's wire and the library's events and actions. It decides nothing."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+from notchflow.interface import (
+    Action,
+    Cancel,
+    ClientGone,
+    Effect,
+    Event,
+    Fail,
+    Group,
+    Limits,
+    ListKind,
+    Member,
+    Membership,
+    Outcome,
+    PeerMessage,
+    Prices,
+    Probe,
+    Probed,
+    Refuse,
+    Request,
+    RequestClass,
+    Rules,
+    Send,
+    SetTimer,
+    Settings,
+    State,
+    Status,
+    StreamStarted,
+    Tenant,
+    Timer,
+    Watch,
+)
+
+Fields = dict[str, str]
+_T = TypeVar("_T")
+
+EFFECTS = {"repeatable": Effect.SAFE, "by_key": Effect.KEYED, "once": Effect.UNSAFE}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
+SCOPES = {"update": ListKind.DELTA, "replace": ListKind.FULL, "restored": ListKind.CACHED,
+          "unavailable": ListKind.FAILED}
+STATUSES = {"completed": Status.OK, "errored": Status.ERROR, "saturated": Status.FULL,
+            "overdue": Status.TIMEOUT, "refused_conn": Status.CONNECT_FAILED, "severed": Status.RESET,
+            "recalled": Status.CANCELLED, "superseded": Status.MOOT, "lookup_miss": Status.MISS}
+LOADS = {"concurrent": "inflight", "depth": "queue", "load_share": "util", "mean_ms": "latency_ms",
+         "tps": "qps", "err_ps": "eps", "x0": "x0", "x1": "x1"}
+
+
+class WireError(Exception):
+    """A line that does not follow the wire."""
+
+
+def split(line: str) -> tuple[str, Fields]:
+    """A line's message name and its fields; unknown fields stay in and are never read."""
+    name, *pairs = line.split("\t")
+    fields: Fields = {}
+    for pair in pairs:
+        key, mark, value = pair.partition("=")
+        if not mark or not key:
+            raise WireError(f"expected name=value, got {pair[:40]!r}")
+        fields[key] = value
+    return name, fields
+
+
+def text(fields: Fields, name: str) -> str:
+    """A field that must be there."""
+    if name not in fields:
+        raise WireError(f"expected the field {name}")
+    return fields[name]
+
+
+def number(fields: Fields, name: str, default: float | None = None) -> float:
+    """A finite number."""
+    if name not in fields and default is not None:
+        return default
+    raw = text(fields, name)
+    try:
+        value = float(raw)
+    except ValueError:
+        raise WireError(f"expected a number in {name}, got {raw[:40]!r}") from None
+    if value - value != 0:
+        raise WireError(f"expected a finite number in {name}, got {raw[:40]!r}")
+    return value
+
+
+def integer(fields: Fields, name: str, default: int | None = None) -> int:
+    """An integer."""
+    if name not in fields and default is not None:
+        return default
+    raw = text(fields, name)
+    try:
+        return int(raw)
+    except ValueError:
+        raise WireError(f"expected an integer in {name}, got {raw[:40]!r}") from None
+
+
+def flag(fields: Fields, name: str) -> bool:
+    """A boolean, false when absent."""
+    raw = fields.get(name, "0")
+    if raw not in ("0", "1"):
+        raise WireError(f"expected 0 or 1 in {name}, got {raw[:40]!r}")
+    return raw == "1"
+
+
+def one_of(fields: Fields, name: str, table: Mapping[str, _T]) -> _T:
+    """One of the words of a table."""
+    raw = text(fields, name)
+    if raw not in table:
+        raise WireError(f"expected one of {', '.join(table)} in {name}, got {raw[:40]!r}")
+    return table[raw]
+
+
+def report(fields: Fields, names: tuple[str, ...]) -> dict[str, float] | None:
+    """A load report, by the names of the library."""
+    if not fields.get("Metrics"):
+        return None
+    values = fields["Metrics"].split(",")
+    try:
+        return {LOADS[n]: float(v) for n, v in zip(names, values, strict=False) if n in LOADS and v}
+    except ValueError:
+        raise WireError(f"expected numbers in Metrics, got {fields['Metrics'][:40]!r}") from None
+
+
+def decode_member(fields: Fields) -> Member:
+    """One `item` line of a list."""
+    return Member(
+        node=integer(fields, "Node"), state=one_of(fields, "Readiness", STATES),
+        kind=fields.get("FamilyType", ""), zone=fields.get("Zone", ""), cell=integer(fields, "Pod", 0),
+        size=number(fields, "Size", 1.0), ready_at_ms=number(fields, "ReadyAtMs", 0.0))
+
+
+def decode_membership(fields: Fields, members: tuple[Member, ...]) -> Membership:
+    """A `sync` line with its items."""
+    return Membership(one_of(fields, "Scope", SCOPES), members, integer(fields, "Generation", 0))
+
+
+def decode_event(name: str, fields: Fields, report_fields: tuple[str, ...]) -> Event:
+    """Any event but `sync`, which spans several lines."""
+    if name == "ask":
+        tenant = fields.get("Org")
+        key = fields.get("RouteKey") or None
+        if key is not None and not _is_hex(key):
+            raise WireError(f"expected hex digits in RouteKey, got {key[:40]!r}")
+        return Request(
+            id=integer(fields, "MsgId"), cls=text(fields, "Grade"), deadline=number(fields, "NotAfterMs"),
+            key=key, tenant=None if tenant in (None, "0", "") else tenant,
+            hint_ms=number(fields, "WorkHintMs") if "WorkHintMs" in fields else None,
+            size=number(fields, "BytesHint") if "BytesHint" in fields else None,
+            retry=flag(fields, "Retry"), write=flag(fields, "Mutates"))
+    if name == "answer":
+        detail = integer(fields, "Detail", 0)
+        return Outcome(
+            id=integer(fields, "MsgId"), attempt=integer(fields, "Hop"), node=integer(fields, "Node"),
+            status=one_of(fields, "Rc", STATUSES), latency_ms=number(fields, "TimeTakenMs", 0.0),
+            closed=flag(fields, "Closed"), hit=None if detail == 0 else detail == 1,
+            load=report(fields, report_fields))
+    if name == "established":
+        return StreamStarted(integer(fields, "MsgId"), integer(fields, "Hop"), integer(fields, "Node"))
+    if name == "gone":
+        return ClientGone(integer(fields, "MsgId"))
+    if name == "reminder":
+        return Timer(text(fields, "Nonce"))
+    if name == "echo":
+        return Probed(integer(fields, "Node"), one_of(fields, "Rc", STATUSES),
+                      number(fields, "TimeTakenMs", 0.0), report(fields, report_fields))
+    if name == "heard":
+        data = fields.get("Contents", "-")
+        if data != "-" and not _is_hex(data):
+            raise WireError(f"expected hex digits in Contents, got {data[:40]!r}")
+        return PeerMessage(integer(fields, "Src"), b"" if data == "-" else bytes.fromhex(data))
+    raise WireError(f"expected a message of the wire, got {name[:40]!r}")
+
+
+def _is_hex(value: str) -> bool:
+    return len(value) % 2 == 0 and all(c in "0123456789abcdefABCDEF" for c in value)
+
+
+def encode(action: Action) -> str:
+    """An action as a line, without its end."""
+    match action:
+        case Send(request, node, timeout):
+            cut = "" if timeout is None else f"\tTimeoutMs={timeout:.3f}"
+            return f"call_out\tMsgId={request}{cut}\tNode={node}"
+        case Cancel(request, attempt):
+            return f"cancel\tMsgId={request}\tHop={attempt}"
+        case Refuse(request, wait):
+            advice = f"\tHoldOffMs={wait:.3f}" if wait > 0 else ""
+            return f"deny\tMsgId={request}{advice}"
+        case Fail(request):
+            return f"finish_error\tMsgId={request}"
+        case SetTimer(at, token):
+            return f"wake_me\tTimeMs={at:.3f}\tNonce={token}"
+        case Probe(node):
+            return f"sound_out\tNode={node}"
+        case Watch(on):
+            return f"subscribe\tOn={int(on)}"
+
+
+def decode_settings(raw: str) -> tuple[Settings, tuple[str, ...]]:
+    try:
+        data = json.loads(raw)
+    except ValueError as error:
+        raise WireError(f"expected JSON in Config ({error})") from None
+    if not isinstance(data, dict):
+        raise WireError("expected a JSON object in Config")
+    try:
+        return _settings(data), tuple(str(n) for n in (data.get("Report") or {}).get("Fields") or ())
+    except (TypeError, AttributeError, KeyError) as error:
+        raise WireError(f"expected Config as the wire describes it ({error!r})") from None
+
+
+def _given(data: Mapping[str, Any], names: Mapping[str, str]) -> dict[str, Any]:
+    """The values that are there, under the library's names; the library's defaults serve for the rest."""
+    return {own: data[theirs] for own, theirs in names.items() if data.get(theirs) is not None}
+
+
+def _settings(data: Mapping[str, Any]) -> Settings:
+    classes = []
+    for c in data.get("Classes") or ():
+        given = _given(c, {"aim_ms": "ObjectiveMs", "deadline_ms": "DeadlineMs", "worth": "Points",
+                           "late_worth": "LateValue", "window_ms": "WindowMs", "stream": "Stream"})
+        classes.append(RequestClass(name=c["Name"], effect=EFFECTS[c.get("Effect", "once")],
+                                    group=GROUPS[c.get("Group", "cell")], **given))
+    family = data.get("FamilyInfo") or {}
+    kinds = data.get("Kinds") or ()
+    index = int(family.get("OriginKind", -1))
+    aside = family.get("Mode") == "aside" and 0 <= index < len(kinds)
+    rules = _given(data.get("Rules") or {}, {
+        "answer_slack_ms": "GraceToAnswerMs", "ask_within_ms": "AskWithinMs",
+        "drain_grace_ms": "DrainGraceMs", "cold_share": "ColdShare", "cold_ms": "ColdMs",
+        "overload_factor": "OverloadFactor",
+        "fall_ms": "FallMs"})
+    limits = _given(data.get("Limits") or {}, {
+        "max_attempts": "MaxAttempts", "second_copies": "SecondCopies", "cancel": "Cancel",
+        "probes": "MayProbe", "retry_after": "RetryAfter", "max_retry_after_ms": "MaxRetryAfterMs",
+        "connect_timeout_ms": "DialTimeoutMs"})
+    prices = _given(data.get("Deductions") or {}, {
+        "cross_zone": "CrossZone", "waste": "Waste", "origin": "Origin", "probe": "Probe",
+        "late_fail": "LateFail"})
+    top = _given(data, {"zone": "Az", "balancers": "PeersTotal", "over_share_worth": "OverShareWorth",
+                        "tick_ms": "GranularityMs"})
+    return Settings(
+        classes=tuple(classes), rules=Rules(**rules), limits=Limits(**limits), prices=Prices(**prices),
+        tenants=tuple(Tenant(t["Name"], float(t.get("QuotaPerS", 0.0)), float(t.get("Portion", 0.0)))
+                      for t in data.get("Tenants") or ()),
+        list_on_request=data.get("MembershipMode") == "on_request",
+        origin_kind=kinds[index] if aside else None, worth_by_work=data.get("ValueBy") == "work", **top)
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,68 @@
+"""Settings, fleets and a small event driver shared by the tests."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from notchflow import Balancer
+from notchflow.interface import (
+    Action,
+    Effect,
+    Group,
+    Limits,
+    ListKind,
+    Member,
+    Membership,
+    Outcome,
+    Request,
+    RequestClass,
+    Rules,
+    Send,
+    Settings,
+    Status,
+)
+
+CLASSES = (
+    RequestClass("read", 300, 1000),
+    RequestClass("keyed", 300, 1000, effect=Effect.KEYED, group=Group.ALL, window_ms=400),
+    RequestClass("zoned", 300, 1000, effect=Effect.KEYED, group=Group.ZONE, window_ms=400),
+    RequestClass("celled", 300, 1000, effect=Effect.KEYED, group=Group.CELL, window_ms=400),
+    RequestClass("once", 300, 1000, effect=Effect.UNSAFE),
+)
+RULES = Rules(answer_slack_ms=20, ask_within_ms=10_000, drain_grace_ms=250, cold_share=0.2, cold_ms=10_000,
+              overload_factor=3, fall_ms=1_000)
+LIMITS = Limits(max_attempts=3, second_copies=True, cancel=True)
+
+
+def make_settings(**changes: Any) -> Settings:
+    values: dict[str, Any] = {"classes": CLASSES, "zone": "a", "rules": RULES, "limits": LIMITS}
+    return Settings(**(values | changes))
+
+
+def make_fleet(count: int, **changes: Any) -> tuple[Member, ...]:
+    return tuple(replace(Member(1000 + 7919 * i, zone="ab"[i % 2], cell=i % 4), **changes)
+                 for i in range(count))
+
+
+def make_balancer(count: int = 8, now: float = 0.0, **changes: Any) -> Balancer:
+    balancer = Balancer(make_settings(**changes), seed=11, now=now)
+    balancer.handle(now, Membership(ListKind.FULL, make_fleet(count)))
+    return balancer
+
+
+def key(number: int) -> str:
+    return f"{number * 2654435761 % 2**64:016x}"
+
+
+def ask(number: int, now: float, cls: str = "read", k: str | None = "use-number", **more: Any) -> Request:
+    own = key(number) if k == "use-number" else k
+    return Request(id=number, cls=cls, deadline=now + 900, key=own, **more)
+
+
+def sends(actions: list[Action]) -> list[Send]:
+    return [a for a in actions if isinstance(a, Send)]
+
+
+def ok(send: Send, attempt: int = 0, latency: float = 10.0) -> Outcome:
+    return Outcome(send.id, attempt, send.node, Status.OK, latency, closed=True)
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,244 @@
+"""One proxy between scripted peers, all on loopback sockets: cache nodes, discovery and clients."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import struct
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass, field
+from types import TracebackType
+from typing import Any, TypeVar
+
+import uvloop
+
+from notchflow.interface import RequestClass, Settings
+from notchflow.net.config import Config
+from notchflow.net.discovery import Listing, decode_listing
+from notchflow.net.host import Host
+from tests.helpers import make_settings
+
+_E = TypeVar("_E")
+
+PATIENCE_S = 10.0  # only a hung test waits this long
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    """Runs one test on the proxy's own kind of loop."""
+    loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(loop)
+    try:
+        loop.run_until_complete(_bounded(test))
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+async def _bounded(test: Coroutine[Any, Any, None]) -> None:
+    async with asyncio.timeout(PATIENCE_S):
+        await test
+
+
+async def until(condition: Callable[[], object]) -> None:
+    """Waits for something that sockets bring about; run() bounds the wait."""
+    while not condition():
+        await asyncio.sleep(0.001)
+
+
+@dataclass
+class Seen:
+    """A message as a scripted peer read it."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def status(self) -> int:
+        return int(self.line.split()[1])
+
+
+async def read_message(reader: asyncio.StreamReader) -> Seen | None:
+    """One HTTP message; None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+        line, *fields = head.decode("latin-1").rstrip("\r\n").split("\r\n")
+        headers = {name.lower(): value.strip() for name, _, value in (f.partition(":") for f in fields)}
+        body = b""
+        if headers.get("transfer-encoding") == "chunked":
+            while size := int(await reader.readuntil(b"\r\n"), 16):
+                body += await reader.readexactly(size)
+                await reader.readexactly(2)
+            await reader.readexactly(2)
+        else:
+            body = await reader.readexactly(int(headers.get("content-length", 0)))
+        return Seen(line, headers, body)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+
+
+def answer(body: bytes = b"value", status: str = "200 OK", **headers: str) -> bytes:
+    """An answer with its length."""
+    lines = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in headers.items())
+    return f"HTTP/1.1 {status}\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+Script = Callable[[Seen, asyncio.StreamWriter], Awaitable[None]]
+
+
+async def serve_value(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    """What a healthy node does."""
+    writer.write(answer(b"value of " + seen.line.split()[1].encode()))
+
+
+@dataclass
+class Peer:
+    """A server whose script answers each request; it counts what it is sent."""
+
+    script: Script = serve_value
+    seen: list[Seen] = field(default_factory=list)
+    connections: int = 0
+    open: set[asyncio.StreamWriter] = field(default_factory=set)
+    port: int = 0
+    server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self.open.add(writer)
+        try:
+            while (seen := await read_message(reader)) is not None:
+                self.seen.append(seen)
+                await self.script(seen, writer)
+        finally:
+            self.open.discard(writer)
+            writer.close()
+
+    def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for writer in self.open:
+            writer.transport.abort()
+
+
+class Client:
+    """A client's connection."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    def send(self, method: str = "GET", path: str = "/api/00000000000000aa", body: bytes | None = None,
+             **headers: str) -> None:
+        """Writes a request; a header is left out by giving it as the empty string."""
+        fields = {"x_call_id": "9b1f03aa5c7e2d41", "x_call_class": "read", "x_budget": "5.0"} | headers
+        if body is not None:
+            fields["content_length"] = str(len(body))
+        lines = "".join(f"{n.replace('_', '-')}: {v}\r\n" for n, v in fields.items() if v)
+        self.writer.write(f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + (body or b""))
+
+    def reset(self) -> None:
+        """Goes away for good: a plain close could as well be a client that only sends no more."""
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
+    async def receive(self) -> Seen | None:
+        return await read_message(self.reader)
+
+    async def ask(self, *args: Any, **more: Any) -> Seen:
+        self.send(*args, **more)
+        seen = await self.receive()
+        assert seen is not None, "the connection ended without an answer"
+        return seen
+
+
+CLASSES = (
+    RequestClass("read", 5_000, 5_000),
+    *[c for c in make_settings().classes if c.name != "read"],
+)
+
+
+class Rig:
+    """The proxy under test, with as many nodes as scripts are given."""
+
+    def __init__(self, *scripts: Script, members: list[dict[str, Any]] | None = None,
+                 limits: dict[str, Any] | None = None, **changes: Any) -> None:
+        self.nodes = [Peer(script) for script in scripts or (serve_value,)]
+        self.discovery = Peer(self._answer_discovery)
+        self.members = members
+        self.limits = limits or {}
+        self.settings: Settings = make_settings(**({"classes": CLASSES} | changes))
+        self.calls: asyncio.Queue[tuple[Seen, asyncio.StreamWriter]] = asyncio.Queue()
+        self.clients: list[Client] = []
+
+    async def _answer_discovery(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
+        self.calls.put_nowait((seen, writer))
+
+    def entry(self, number: int, **changes: Any) -> dict[str, Any]:
+        """A node as discovery lists it."""
+        return {"id": f"s-{number}", "host_port": f"127.0.0.1:{self.nodes[number].port}", "locality": "a",
+                "flavor": "m", "cell": 0, "phase": "up", "size": 1.0, "up_since_ms": 0} | changes
+
+    def listing(self, revision: int, complete: bool = True,
+                members: list[dict[str, Any]] | None = None) -> bytes:
+        """An answer of discovery."""
+        if members is None:
+            members = [self.entry(i) for i in range(len(self.nodes))]
+        return answer(json.dumps({"revision": revision, "complete": complete, "members": members}).encode())
+
+    async def __aenter__(self) -> Rig:
+        for peer in (*self.nodes, self.discovery):
+            await peer.start()
+        members = self.members
+        if members is None:
+            members = [self.entry(i) for i in range(len(self.nodes))]
+        known: Listing = decode_listing({"revision": 41, "complete": True, "members": members})
+        config = Config(name="n0", listen=("127.0.0.1", 0), discovery=("127.0.0.1", self.discovery.port),
+                        seed=7, settings=self.settings, known=known, **self.limits)
+        self.host = Host(config, asyncio.get_running_loop())
+        self.host.start()
+        assert self.host.front.listener is not None
+        self.port = self.host.front.listener.getsockname()[1]
+        return self
+
+    async def connect(self) -> Client:
+        client = Client(*await asyncio.open_connection("127.0.0.1", self.port))
+        self.clients.append(client)
+        return client
+
+    async def ask(self, *args: Any, **more: Any) -> Seen:
+        """One request on a connection of its own."""
+        return await (await self.connect()).ask(*args, **more)
+
+    def told(self, kind: type[_E]) -> list[_E]:
+        """The events of one kind that the module is told from now on."""
+        told: list[_E] = []
+        handle = self.host.balancer.handle
+
+        def listening(now: float, event: Any) -> Any:
+            if isinstance(event, kind):
+                told.append(event)
+            return handle(now, event)
+
+        self.host.balancer.handle = listening  # type: ignore[method-assign]
+        return told
+
+    @property
+    def sent(self) -> int:
+        """Requests that the nodes have been sent."""
+        return sum(len(node.seen) for node in self.nodes)
+
+    async def __aexit__(self, kind: type[BaseException] | None, value: BaseException | None,
+                        trace: TracebackType | None) -> None:
+        self.host.front.shut()
+        self.host.timers.clear()
+        for peer in (*self.nodes, self.discovery):
+            peer.stop()
+        for client in self.clients:
+            client.writer.transport.abort()
+        async with asyncio.timeout(PATIENCE_S):
+            await until(lambda: len(asyncio.all_tasks()) == 1)
--- /dev/null
+++ b/tests/test_downstream.py
@@ -0,0 +1,270 @@
+"""Clients of every kind, over loopback sockets: bad input, slow input, leaving, limits."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from tests.rig import Rig, Seen, answer, run, serve_value, until
+
+GOOD = b"GET /api/00aa HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: read\r\n\r\n"
+
+BAD: list[tuple[bytes, int]] = [
+    (b"\x16\x03\x01\x02\x00 not HTTP\r\n\r\n", 400),
+    (b"GET /api/00aa\r\n\r\n", 400),
+    (b"PUT /api/a HTTP/1.1\r\nX-Call-Id: 1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc", 400),
+    (b"PUT /api/a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc", 400),
+    (b"PUT /api/a HTTP/1.1\r\nX-Call-Id: 1\r\nContent-Length: -3\r\n\r\nabc", 400),
+    (b"PUT /api/a HTTP/1.1\r\nX-Call-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+    (b"GET /api/a HTTP/1.1\r\nX-Long: " + b"a" * 40_000, 431),
+    (b"PUT /api/a HTTP/1.1\r\nX-Call-Id: 1\r\nContent-Length: 33554433\r\n\r\n", 413),
+]
+UNANSWERABLE: list[tuple[bytes, int]] = [
+    (b"GET /other HTTP/1.1\r\nX-Call-Id: 1\r\n\r\n", 404),
+    (b"GET /api/ HTTP/1.1\r\nX-Call-Id: 1\r\n\r\n", 404),
+    (b"DELETE /api/a HTTP/1.1\r\nX-Call-Id: 1\r\n\r\n", 405),
+    (b"GET /api/a HTTP/1.1\r\nX-Call-Class: read\r\n\r\n", 400),
+    (b"GET /api/a HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: read\r\nX-Budget: soon\r\n\r\n", 400),
+    (b"GET /api/a HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: read\r\nX-Budget: nan\r\n\r\n", 400),
+    (b"GET /api/a HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: read\r\nX-Budget: 0\r\n\r\n", 504),
+    (b"GET /api/a HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: read\r\nX-Budget: -1\r\n\r\n", 504),
+    (b"GET /api/a HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: never-heard-of\r\n\r\n", 503),
+]
+
+
+@pytest.mark.parametrize("data,status", BAD)
+def test_what_cannot_be_read_is_answered_and_ends_the_connection(data: bytes, status: int) -> None:
+    async def test() -> None:
+        async with Rig() as rig:
+            client = await rig.connect()
+            client.writer.write(data)
+            seen = await client.receive()
+            assert seen is not None and seen.status == status
+            assert seen.headers["connection"] == "close"
+            assert await client.reader.read() == b"", "nothing may follow"
+            assert rig.sent == 0
+            assert (await rig.ask()).status == 200, "others are served as before"
+    run(test())
+
+
+@pytest.mark.parametrize("data,status", UNANSWERABLE)
+def test_what_no_node_should_see_fails_and_the_connection_goes_on(data: bytes, status: int) -> None:
+    async def test() -> None:
+        async with Rig() as rig:
+            client = await rig.connect()
+            client.writer.write(data)
+            seen = await client.receive()
+            assert seen is not None and seen.status == status
+            assert rig.sent == 0
+            assert (await client.ask()).status == 200
+    run(test())
+
+
+def test_a_missing_budget_is_the_deadline_of_the_class() -> None:
+    async def test() -> None:
+        async with Rig() as rig:
+            await rig.ask(X_Budget="")
+            assert 4.5 < float(rig.nodes[0].seen[0].headers["x-budget"]) <= 5.0
+    run(test())
+
+
+def test_a_request_may_trickle_in_and_come_in_chunks() -> None:
+    async def test() -> None:
+        async with Rig() as rig:
+            client = await rig.connect()
+            head = (b"PUT /api/00aa HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: read\r\n"
+                    b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nX-Budget: -5\r\n\r\n")
+            for start in range(0, len(head), 7):
+                client.writer.write(head[start:start + 7])
+                await asyncio.sleep(0)
+            seen = await client.receive()
+            assert seen is not None and seen.status == 200
+            assert rig.nodes[0].seen[0].body == b"abcde"
+            assert rig.nodes[0].seen[0].headers["content-length"] == "5"
+    run(test())
+
+
+def test_a_client_that_waits_to_be_told_to_go_on_is_told() -> None:
+    async def test() -> None:
+        async with Rig() as rig:
+            client = await rig.connect()
+            client.writer.write(b"PUT /api/00aa HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: read\r\n"
+                                b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+            assert await client.reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+            client.writer.write(b"hi")
+            seen = await client.receive()
+            assert seen is not None and seen.status == 200
+            assert "expect" not in rig.nodes[0].seen[0].headers
+    run(test())
+
+
+def test_requests_sent_ahead_are_answered_in_order_and_the_bad_one_last() -> None:
+    async def test() -> None:
+        async with Rig() as rig:
+            client = await rig.connect()
+            ahead = [GOOD.replace(b"00aa", b"%04x" % n) for n in range(50)]
+            client.writer.write(b"".join(ahead) + b"junk\r\n\r\n")
+            for number in range(50):
+                seen = await client.receive()
+                assert seen is not None and seen.body == b"value of /api/%04x" % number
+            seen = await client.receive()
+            assert seen is not None and seen.status == 400
+    run(test())
+
+
+def test_a_half_closed_client_gets_its_answer() -> None:
+    gate = asyncio.Event()
+
+    async def held(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        await gate.wait()
+        await serve_value(seen, writer)
+
+    async def test() -> None:
+        async with Rig(held) as rig:
+            client = await rig.connect()
+            client.send()
+            client.writer.write_eof()
+            await until(lambda: rig.sent and all(c.half_closed for c in rig.host.front.clients))
+            gate.set()
+            seen = await client.receive()
+            assert seen is not None and seen.status == 200
+            assert await client.reader.read() == b""
+    run(test())
+
+
+def test_a_client_that_leaves_in_an_upload_leaves_nothing_behind() -> None:
+    async def test() -> None:
+        async with Rig() as rig:
+            client = await rig.connect()
+            client.writer.write(b"PUT /api/00aa HTTP/1.1\r\nX-Call-Id: 1\r\nContent-Length: 999\r\n\r\nab")
+            await until(lambda: rig.host.held == 2)
+            client.reset()
+            await until(lambda: not rig.host.front.clients)
+            assert (rig.host.held, rig.sent) == (0, 0)
+    run(test())
+
+
+def test_without_room_for_its_body_a_request_is_refused_once_it_has_come() -> None:
+    async def test() -> None:
+        async with Rig() as rig:
+            rig.host.held_max = 100_000
+            client = await rig.connect()
+            seen = await client.ask("PUT", body=b"x" * 3_000_000)
+            assert seen.status == 503
+            assert (rig.host.held, rig.sent) == (0, 0)
+            assert (await client.ask("PUT", body=b"x" * 50_000)).status == 200, "it is used on"
+            assert rig.host.held == 0
+    run(test())
+
+
+def test_a_long_answer_is_passed_on_as_it_comes_and_held_back_for_a_slow_reader() -> None:
+    async def long(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for _ in range(300):
+            writer.write(b"10000\r\n" + b"v" * 0x10000 + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
+    async def test() -> None:
+        async with Rig(long) as rig:
+            client = await rig.connect()
+            client.reader._limit = 1 << 16  # type: ignore[attr-defined]
+            client.send()
+            await until(lambda: any(c.paused for c in rig.host.front.clients))
+            seen = await client.receive()
+            assert seen is not None and (seen.status, len(seen.body)) == (200, 300 << 16)
+            assert (await client.ask(path="/health/ready")).status == 200
+    run(test())
+
+
+def test_a_long_answer_that_breaks_does_not_look_whole() -> None:
+    async def cut(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n")
+        writer.write(b"v" * 0x20000 + b"\r\n")
+        await writer.drain()
+        writer.close()
+
+    async def test() -> None:
+        async with Rig(cut) as rig:
+            client = await rig.connect()
+            client.send()
+            assert await client.receive() is None
+            await until(lambda: not rig.host.open)
+            assert rig.sent == 1 and not rig.host.balancer.pending
+    run(test())
+
+
+def test_near_the_limit_of_descriptors_idle_clients_make_room_for_new_ones() -> None:
+    async def test() -> None:
+        async with Rig(limits={"sockets": 44}) as rig:
+            for _ in range(60):
+                assert (await rig.ask()).status == 200
+            assert rig.host.used <= rig.host.descriptors
+    run(test())
+
+
+def test_while_stopping_what_comes_is_answered_and_then_the_loop_ends() -> None:
+    gate = asyncio.Event()
+
+    async def held(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        if seen.line.split()[1] == "/api/held":
+            await gate.wait()
+        writer.write(answer())
+
+    async def test() -> None:
+        async with Rig(held) as rig:
+            ended = asyncio.Event()
+            rig.host.loop = _Stopped(rig.host.loop, ended)  # type: ignore[assignment]
+            idle, busy = await rig.connect(), await rig.connect()
+            assert (await idle.ask()).status == 200
+            busy.send(path="/api/held")
+            await until(lambda: rig.sent == 2)
+            rig.host.stop()
+            ready = await rig.ask(path="/health/ready")
+            assert ready.status == 503
+            late = await rig.ask()
+            assert (late.status, late.headers["connection"]) == (200, "close")
+            assert await idle.reader.read() == b"", "idle connections are closed in the end"
+            assert not ended.is_set()
+            gate.set()
+            seen = await busy.receive()
+            assert seen is not None and (seen.status, seen.headers["connection"]) == (200, "close")
+            await ended.wait()
+            assert rig.host.front.listener is None
+    run(test())
+
+
+class _Stopped:
+    """The test's loop, where the host's stop is only noted."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, ended: asyncio.Event) -> None:
+        self.loop, self.stop = loop, ended.set
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self.loop, name)
+
+
+PIECES = st.lists(st.sampled_from([
+    GOOD, b"GET ", b"PUT ", b"/api/00aa", b" HTTP/1.1\r\n", b"\r\n", b"X-Call-Id: 1\r\n", b"X-Budget: 1\r\n",
+    b"Content-Length: 5\r\n", b"Transfer-Encoding: chunked\r\n", b"5\r\nabcde\r\n", b"0\r\n\r\n",
+    b"Expect: 100-continue\r\n",
+    b"Connection: upgrade\r\nUpgrade: x\r\n", b"\x00\xff", b"abcde"]) | st.binary(max_size=20), max_size=12)
+
+
+@settings(max_examples=40, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+@given(PIECES)
+def test_no_input_breaks_the_proxy(pieces: list[bytes]) -> None:
+    async def test() -> None:
+        async with Rig() as rig:
+            client = await rig.connect()
+            for piece in pieces:
+                client.writer.write(piece)
+            client.writer.write_eof()
+            await client.reader.read()
+            await until(lambda: not rig.host.front.clients)
+            assert not rig.host.open and rig.host.held == 0
+            assert (await rig.ask()).status == 200
+    run(test())
--- /dev/null
+++ b/tests/test_mechanism.py
@@ -0,0 +1,198 @@
+"""FastTopK, the home, the threshold and the load bound."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+from notchflow import Balancer
+from notchflow.interface import ListKind, Member, Membership, State, Timer
+from notchflow.logic import LOAD_SPREAD, FastTopK, Fleet, Threshold
+from tests.helpers import ask, key, make_balancer, make_fleet, make_settings, ok, sends
+
+
+def feed(topk: FastTopK, rng: random.Random, count: int, hot: dict[str, float]) -> None:
+    names, shares = [*hot, ""], [*hot.values(), 1 - sum(hot.values())]
+    for name in rng.choices(names, shares, k=count):
+        topk.observe(name or key(rng.randrange(10**9)))
+
+
+def test_skewed_stream_gives_rates_near_the_true_ones() -> None:
+    topk = FastTopK(random.Random(1))
+    topk.capacity = 256
+    feed(topk, random.Random(2), 4000, {"a": 0.2, "b": 0.05})
+    hot = topk.hot()
+    assert list(hot)[:2] == ["a", "b"]
+    assert 0.17 < hot["a"] < 0.23
+    assert 0.035 < hot["b"] < 0.065
+
+
+def test_uniform_stream_has_no_hot_keys() -> None:
+    topk = FastTopK(random.Random(1))
+    feed(topk, random.Random(2), 4000, {})
+    assert topk.hot() == {}
+
+
+def test_trickle_names_no_key_on_a_few_coincidences() -> None:
+    topk = FastTopK(random.Random(1))
+    for name in ["a", "b", "a", "c", "d", "e", "f", "g", "h", "i", "j", "k", "a"]:
+        topk.observe(name)
+    assert 0 < topk.counters["a"] < 6 and topk.hot() == {}
+    feed(topk, random.Random(3), 80, {"z": 0.3})
+    assert "z" in topk.hot()
+
+
+def test_shifting_stream_finds_the_new_key_behind_the_historical_ones() -> None:
+    topk = FastTopK(random.Random(1))
+    feed(topk, random.Random(2), 1000, {"a": 0.3})
+    topk.switch()
+    assert list(topk.historical) == ["a"]
+    assert topk.counters == {} and topk.compared == 0
+    feed(topk, random.Random(3), 600, {"b": 0.3})
+    hot = topk.hot()
+    assert hot["b"] > hot["a"]
+    assert "a" not in topk.fifo[-300:]
+    topk.normal()
+    assert topk.historical == {}
+
+
+def test_ageing_forgets() -> None:
+    topk = FastTopK(random.Random(1))
+    feed(topk, random.Random(2), 500, {"a": 0.3})
+    for _ in range(12):
+        topk.age()
+    assert topk.hot() == {}
+
+
+def homes(fleet: Fleet, keys: range) -> dict[int, int]:
+    return {k: fleet.order(key(k))[0].id for k in keys}
+
+
+def test_adding_and_removing_a_server_moves_only_its_keys() -> None:
+    fleet = Fleet(make_settings())
+    fleet.update(0, Membership(ListKind.FULL, make_fleet(8)))
+    before = homes(fleet, range(2000))
+    fleet.update(1, Membership(ListKind.DELTA, (Member(5),)))
+    after = homes(fleet, range(2000))
+    moved = [k for k in before if before[k] != after[k]]
+    assert 2000 / 9 * 0.8 < len(moved) < 2000 / 9 * 1.2
+    assert {after[k] for k in moved} == {5}
+    fleet.update(2, Membership(ListKind.DELTA, (Member(5, State.GONE),)))
+    assert homes(fleet, range(2000)) == before
+
+
+def test_a_cold_server_is_due_its_stated_share_and_takes_keys_gradually() -> None:
+    fleet = Fleet(make_settings())
+    fleet.update(0, Membership(ListKind.FULL, make_fleet(8)))
+    fleet.update(1000, Membership(ListKind.DELTA, (Member(5, ready_at_ms=1000),)))
+    parts = []
+    for now in (1000, 6000, 11000):
+        fleet.tick(now)
+        parts.append(Counter(homes(fleet, range(4000)).values())[5] / 4000)
+    assert abs(parts[0] - 0.2 / 8.2) < 0.012
+    assert abs(parts[1] - 0.6 / 8.6) < 0.02
+    assert abs(parts[2] - 1 / 9) < 0.02
+
+
+def test_threshold_compares_with_its_own_past_and_has_hysteresis() -> None:
+    threshold = Threshold()
+    assert not any(threshold.sample(10) for _ in range(40))
+    assert [threshold.sample(30) for _ in range(4)][-1]
+    assert threshold.sample(14)
+    assert not [threshold.sample(10) for _ in range(6)][-1]
+
+
+def test_no_threshold_without_a_past() -> None:
+    assert not any(Threshold().sample(500) for _ in range(30))
+
+
+def drive(balancer: Balancer, rng: random.Random, start: float, count: int, share: float, gap: float = 5.0,
+          first_id: int = 0) -> Counter[int]:
+    """Requests at a steady rate, answered at once; returns where those for the hot key went."""
+    seen: Counter[int] = Counter()
+    next_sample = start
+    for i in range(count):
+        now = start + i * gap
+        if now >= next_sample:
+            balancer.handle(now, Timer("sample"))
+            next_sample = now + 250
+        k = "00000000000000aa" if rng.random() < share else key(rng.randrange(10**9))
+        send = sends(balancer.handle(now, ask(first_id + i, now, k=k)))[0]
+        if k == "00000000000000aa":
+            seen[send.node] += 1
+        balancer.handle(now, ok(send))
+    return seen
+
+
+def test_a_key_that_swamps_its_home_below_every_threshold_is_spread() -> None:
+    """Guards against a hot key that no instance's own load betrays."""
+    balancer = make_balancer(20)
+    seen = drive(balancer, random.Random(4), 0, 400, 0.02)
+    assert len(seen) == 1 and not balancer.factoring
+    seen = drive(balancer, random.Random(5), 2000, 2000, 0.3, first_id=400)
+    assert balancer.factoring and len(seen) >= 5
+    seen = drive(balancer, random.Random(6), 20000, 6000, 0.0, first_id=4000)
+    assert not balancer.factoring and balancer.topk.historical == {}
+
+
+def test_ordinary_keys_stay_at_home_while_factoring() -> None:
+    balancer = make_balancer(20)
+    drive(balancer, random.Random(5), 0, 2000, 0.3)
+    assert balancer.factoring
+    for i in range(50):
+        k = key(10**10 + i)
+        send = sends(balancer.handle(20000, ask(10**6 + i, 20000, k=k)))[0]
+        assert send.node == balancer.fleet.order(k)[0].id
+        balancer.handle(20000, ok(send))
+
+
+def test_the_spread_widens_step_by_step_over_warm_servers_only() -> None:
+    """Guards against all instances switching at once onto cold servers and the origin."""
+    balancer = make_balancer(20)
+    cold = [Member(10**6 + i, ready_at_ms=1.0) for i in range(10)]
+    balancer.handle(1, Membership(ListKind.DELTA, tuple(cold)))
+    widths = []
+    for step in range(8):
+        seen = drive(balancer, random.Random(step), 250 * step, 50, 0.4, first_id=1000 * step)
+        widths.append(len(seen))
+        if balancer.factoring:
+            assert not {m.node for m in cold} & set(seen) or widths[-1] <= 2
+    assert widths[0] == 1
+    spread = balancer.spread["00000000000000aa"][0]
+    assert 1 < spread <= 12
+
+
+def test_high_own_load_spreads_every_hot_key() -> None:
+    balancer = make_balancer(4)
+    drive(balancer, random.Random(5), 0, 1500, 0.1, gap=5)
+    assert not balancer.factoring
+    for i in range(60):
+        balancer.handle(7500, ask(10**6 + i, 7500))
+    for i in range(4):
+        balancer.handle(7750 + 250 * i, Timer("sample"))
+    assert balancer.factoring and balancer.spread["00000000000000aa"][0] >= LOAD_SPREAD
+
+
+def test_a_server_far_over_its_part_is_skipped() -> None:
+    balancer = make_balancer(8)
+    k = key(1)
+    first, second = (n.id for n in balancer.fleet.order(k)[:2])
+    nodes = [sends(balancer.handle(0, ask(i, 0, k=k)))[0].node for i in range(40)]
+    assert nodes[0] == first
+    assert second in nodes
+    assert Counter(nodes)[first] < 40
+
+
+def test_slow_kinds_lose_weight() -> None:
+    balancer = make_balancer(0)
+    members = tuple(Member(i, kind="x" if i % 2 else "y") for i in range(1, 11))
+    balancer.handle(0, Membership(ListKind.FULL, members))
+    number = 0
+    for step in range(60):
+        now = step * 250.0
+        balancer.handle(now, Timer("sample"))
+        for _ in range(10):
+            number += 1
+            send = sends(balancer.handle(now, ask(number, now)))[0]
+            balancer.handle(now + 1, ok(send, latency=10.0 if send.node % 2 else 30.0))
+    assert balancer.fleet.kind_weight["x"] > 2 * balancer.fleet.kind_weight["y"]
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,470 @@
+"""The four rules, as properties over generated sequences of events, and single cases."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from notchflow import Balancer
+from notchflow.interface import (
+    Cancel,
+    ClientGone,
+    Effect,
+    Fail,
+    Group,
+    Limits,
+    ListKind,
+    Member,
+    Membership,
+    Outcome,
+    Refuse,
+    RequestClass,
+    Send,
+    SetTimer,
+    State,
+    Status,
+    StreamStarted,
+    Timer,
+    Watch,
+)
+from notchflow.logic import TOLERANCE
+from tests.helpers import CLASSES, RULES, ask, key, make_balancer, make_fleet, make_settings, ok, sends
+
+
+class Referee:
+    """Plays a world around one balancer and holds it to the rules."""
+
+    def __init__(self, seed: int, **changes: Any) -> None:
+        self.rng = random.Random(seed)
+        self.settings = make_settings(**changes)
+        self.balancer = Balancer(self.settings, seed, 0.0)
+        self.members = {m.node: m for m in make_fleet(self.rng.randrange(0, 9))}
+        self.now = 0.0
+        self.open: dict[int, tuple[RequestClass, float]] = {}
+        self.out: dict[tuple[int, int], tuple[int, float]] = {}
+        self.ran: dict[int, list[tuple[Member, float]]] = {}
+        self.count: dict[int, int] = {}
+        self.timers: list[tuple[float, str]] = []
+        self.number = 0
+        self.answered: set[int] = set()
+        self.give(Membership(ListKind.CACHED, tuple(self.members.values())))
+
+    def give(self, event: Any) -> None:
+        for action in self.balancer.handle(self.now, event):
+            match action:
+                case Send(request, node, _):
+                    cls, _ = self.open[request]
+                    attempt = self.count[request]
+                    self.count[request] += 1
+                    member = self.members[node]
+                    assert member.state is State.READY
+                    earlier = self.ran[request] + [
+                        (self.members[n], t) for (r, _), (n, t) in self.out.items() if r == request]
+                    assert not (earlier and cls.effect is Effect.UNSAFE)
+                    if earlier and cls.effect is Effect.KEYED:
+                        for other, at in earlier:
+                            assert self.now < at + cls.window_ms
+                            assert cls.group is Group.ALL or other.zone == member.zone
+                            assert cls.group is not Group.CELL or other.cell == member.cell
+                    if not self.settings.limits.second_copies:
+                        assert not any(r == request for r, _ in self.out)
+                    self.out[request, attempt] = node, self.now
+                case Refuse(request):
+                    cls, _ = self.open[request]
+                    earlier_runs = bool(self.ran[request]) or any(r == request for r, _ in self.out)
+                    if earlier_runs:
+                        assert cls.effect is Effect.SAFE or (
+                            cls.effect is Effect.KEYED and cls.group is Group.ALL)
+                    self.close(request)
+                case Fail(request):
+                    self.close(request)
+                case Cancel(request, attempt):
+                    assert attempt < self.count[request]
+
+    def close(self, request: int) -> None:
+        assert request not in self.answered
+        self.answered.add(request)
+        del self.open[request]
+
+    def request(self) -> None:
+        cls = self.rng.choice(CLASSES)
+        self.number += 1
+        k = self.rng.choice([None, key(self.rng.randrange(6))])
+        event = ask(self.number, self.now, cls.name, k, write=self.rng.random() < 0.2)
+        self.open[self.number] = cls, event.deadline
+        self.ran[self.number], self.count[self.number] = [], 0
+        self.give(event)
+
+    def outcome(self, which: tuple[int, int], status: Status) -> None:
+        node, sent = self.out.pop(which)
+        request, attempt = which
+        if not status.never_ran:
+            self.ran[request].append((self.members[node], sent))
+        closed = request not in self.open or status is Status.OK
+        if status is Status.OK and request in self.open:
+            self.close(request)
+        self.give(Outcome(request, attempt, node, status, self.now - sent, closed))
+
+    def change(self) -> None:
+        if not self.members or self.rng.random() < 0.3:
+            node = self.rng.randrange(1, 2**32)
+            changed = Member(node, zone="ab"[node % 2], cell=node % 4, ready_at_ms=self.now)
+        else:
+            node = self.rng.choice(sorted(self.members))
+            old = self.members[node]
+            changed = Member(node, self.rng.choice(list(State)), zone=old.zone, cell=old.cell)
+        self.members[node] = changed
+        if self.rng.random() < 0.3:
+            known = [m for m in self.members.values() if m.state is not State.GONE]
+            self.give(Membership(ListKind.FULL, tuple(known)))
+        else:
+            self.give(Membership(ListKind.DELTA, (changed,)))
+
+    def step(self, statuses: list[Status]) -> None:
+        draw = self.rng.random()
+        if draw < 0.45:
+            self.request()
+        elif draw < 0.85 and self.out:
+            self.outcome(self.rng.choice(sorted(self.out)), self.rng.choice(statuses))
+        elif draw < 0.9:
+            self.change()
+        elif draw < 0.93:
+            self.give(Timer(self.rng.choice(["sample", "watch", "unknown"])))
+        elif draw < 0.96 and self.open:
+            gone = self.rng.choice(sorted(self.open))
+            self.close(gone)
+            self.give(ClientGone(gone))
+        else:
+            self.give(Membership(ListKind.FAILED))
+        self.now += self.rng.random() * 60
+        for which in sorted(self.out):
+            request = which[0]
+            if request in self.open and self.now >= self.open[request][1]:
+                self.outcome(which, Status.TIMEOUT)
+        for request, (_, deadline) in self.open.items():
+            assert self.now < deadline + 60 or any(r == request for r, _ in self.out)
+
+    def finish(self) -> None:
+        for which in sorted(self.out):
+            if which in self.out:
+                self.outcome(which, Status.TIMEOUT)
+        while self.out:
+            self.outcome(sorted(self.out)[0], Status.TIMEOUT)
+        assert not self.open
+        assert not self.balancer.pending
+
+
+WORLDS = st.sampled_from([
+    {}, {"limits": Limits(max_attempts=5)}, {"limits": Limits(max_attempts=1, cancel=True)},
+    {"list_on_request": True}, {"origin_kind": ""}, {"origin_kind": "nowhere"}])
+
+
+@settings(derandomize=True, max_examples=120, deadline=None)
+@given(st.integers(0, 2**32), WORLDS, st.lists(st.sampled_from(list(Status)), min_size=1, max_size=4))
+def test_rules_hold_whatever_happens(seed: int, changes: dict[str, Any], statuses: list[Status]) -> None:
+    referee = Referee(seed, **changes)
+    for _ in range(120):
+        referee.step(statuses)
+    referee.finish()
+
+
+def test_empty_fleet_refuses_at_once() -> None:
+    assert make_balancer(0).handle(1, ask(1, 1, "once")) == [Refuse(1)]
+
+
+def test_unsafe_request_that_may_have_run_fails_and_is_not_sent_again() -> None:
+    balancer = make_balancer()
+    send = sends(balancer.handle(0, ask(1, 0, "once")))[0]
+    assert balancer.handle(50, Outcome(1, 0, send.node, Status.ERROR, 50)) == [Fail(1)]
+
+
+def test_unsafe_request_that_never_ran_goes_to_the_next_server() -> None:
+    balancer = make_balancer()
+    send = sends(balancer.handle(0, ask(1, 0, "once")))[0]
+    again = sends(balancer.handle(5, Outcome(1, 0, send.node, Status.FULL, 5)))
+    assert len(again) == 1 and again[0].node != send.node
+
+
+def test_keyed_request_is_not_repeated_after_its_window() -> None:
+    balancer = make_balancer()
+    send = sends(balancer.handle(0, ask(1, 0, "keyed")))[0]
+    assert balancer.handle(500, Outcome(1, 0, send.node, Status.ERROR, 500)) == [Refuse(1)]
+
+
+def test_a_draining_server_gets_nothing_new() -> None:
+    balancer = make_balancer()
+    k = key(3)
+    home = balancer.fleet.order(k)[0]
+    balancer.handle(1, Membership(ListKind.DELTA, (Member(home.id, State.DRAINING),)))
+    for i in range(50):
+        assert sends(balancer.handle(2, ask(i, 2, k=k)))[0].node != home.id
+
+
+def test_a_burst_does_not_spend_a_cold_servers_budget() -> None:
+    """Guards against a short burst of one cold server's keys right after its start."""
+    balancer = make_balancer(4)
+    balancer.handle(1, Membership(ListKind.DELTA, (Member(5, ready_at_ms=1.0),)))
+    k = next(key(i) for i in range(5000) if balancer.fleet.order(key(i))[0].id == 5)
+    nodes = [sends(balancer.handle(2, ask(i, 2, k=k)))[0].node for i in range(50)]
+    assert 1 <= nodes.count(5) <= 3
+
+
+def test_a_silent_server_is_ejected_tried_again_and_restored() -> None:
+    balancer = make_balancer(12)
+    k = key(3)
+    home = balancer.fleet.order(k)[0].id
+    for i in range(2):
+        balancer.handle(i, ask(i, i, k=k))
+    for i in range(2):
+        balancer.handle(900 + i, Outcome(i, 0, home, Status.TIMEOUT, 900))
+    assert sends(balancer.handle(1000, ask(5, 1000, k=k)))[0].node != home
+    trial = sends(balancer.handle(2500, ask(6, 2500, k=k)))[0]
+    assert trial.node == home and trial.timeout_ms is not None and trial.timeout_ms < 900
+    assert sends(balancer.handle(2500, ask(7, 2500, k=k)))[0].node != home
+    balancer.handle(2510, ok(trial))
+    assert sends(balancer.handle(2600, ask(8, 2600, k=k)))[0].node == home
+
+
+def test_a_slow_fleet_is_not_ejected_whole() -> None:
+    """Guards against taking trouble behind all servers (a slow origin) for dead servers."""
+    balancer = make_balancer(12)
+    for i in range(200):
+        for send in sends(balancer.handle(i, ask(i, i))):
+            balancer.handle(i + 900, Outcome(i, 0, send.node, Status.TIMEOUT, 900))
+    ejected = sum(n.ejected_until > 1100 for n in balancer.fleet.ready)
+    assert 1 <= ejected <= 5
+
+
+def test_retry_budget_bounds_further_attempts() -> None:
+    """Guards against retries that multiply the load of a fleet in trouble."""
+    balancer = make_balancer(12)
+    further = 0
+    for i in range(300):
+        balancer.throttle.asked = balancer.throttle.good = 0.0
+        send = sends(balancer.handle(i, ask(i, i)))[0]
+        again = sends(balancer.handle(i, Outcome(i, 0, send.node, Status.ERROR, 1)))
+        for send in again:
+            balancer.handle(i, ok(send, 1))
+        further += len(again)
+    assert 20 <= further <= 45
+
+
+def test_in_a_jam_a_read_that_may_have_run_is_not_tried_elsewhere() -> None:
+    """Guards against doing the work of late reads twice, with a fetch at the second place on top: that kept a
+    fleet jammed with three in four requests refused."""
+    balancer = make_balancer(12)
+    first = [sends(balancer.handle(0, ask(i, 0)))[0] for i in range(3)]
+    balancer.throttle.asked = 50.0
+    assert sends(balancer.handle(5, Outcome(0, 0, first[0].node, Status.ERROR, 5))) == []
+    assert len(sends(balancer.handle(5, Outcome(1, 0, first[1].node, Status.FULL, 5)))) == 1
+    balancer.throttle.asked = 0.0
+    assert len(sends(balancer.handle(5, Outcome(2, 0, first[2].node, Status.ERROR, 5)))) == 1
+
+
+def test_weights_of_kinds_do_not_wander_by_chance_at_a_trickle() -> None:
+    """Guards against homes that drift apart between instances that each see few answers."""
+    rng = random.Random(8)
+    balancer = make_balancer(0)
+    balancer.handle(0, Membership(ListKind.FULL, tuple(Member(i, kind="xy"[i % 2]) for i in range(20))))
+    number, moves = 0, 0
+    for step in range(400):
+        now = step * 250.0
+        before = dict(balancer.fleet.kind_weight)
+        balancer.handle(now, Timer("sample"))
+        moves += before != balancer.fleet.kind_weight
+        for _ in range(3):
+            number += 1
+            for send in sends(balancer.handle(now, ask(number, now))):
+                balancer.handle(now, ok(send, latency=rng.expovariate(1 / 50)))
+    assert all(0.6 < w < 1.6 for w in balancer.fleet.kind_weight.values())
+    assert moves <= 3
+
+
+def test_overload_is_held_back_and_released_when_answers_are_in_time_again() -> None:
+    """Guards against the collapse in which every queue is full and every answer is late."""
+    balancer = make_balancer(12)
+
+    def second(start: int, latency: float) -> int:
+        sent = 0
+        for i in range(200):
+            now = start + i * 5.0
+            if i % 50 == 0:
+                balancer.handle(now, Timer("sample"))
+            for send in sends(balancer.handle(now, ask(start + i, now))):
+                sent += 1
+                balancer.handle(now, ok(send, latency=latency))
+        return sent
+
+    assert second(0, 50.0) == 200
+    for start in range(10_000, 13_000, 1_000):
+        late = second(start, 800.0)
+    assert late < 100
+    for start in range(20_000, 50_000, 1_000):
+        recovered = second(start, 50.0)
+    assert recovered == 200
+
+
+def test_no_more_is_shed_than_the_pressure_asks_for() -> None:
+    """Guards against classes of unequal worth adding up to more than the pressure: nothing recovered then."""
+    classes = (RequestClass("dear", 300, 1000, worth=9), RequestClass("cheap", 300, 1000, worth=1))
+    balancer = make_balancer(12, classes=classes)
+    balancer.throttle.asked, balancer.throttle.good = 1e9, 0.5e9 / TOLERANCE
+    sent = {c.name: 0 for c in classes}
+    for i in range(4000):
+        name = classes[i % 2].name
+        for send in sends(balancer.handle(0, ask(i, 0, name))):
+            sent[name] += 1
+            balancer.handle(0, ok(send))
+    assert sent["dear"] > 1.5 * sent["cheap"] > 0
+    assert 1900 <= sum(sent.values()) <= 2600
+    balancer.throttle.good = 0.01e9
+    assert sum(len(sends(balancer.handle(0, ask(i, 0, "dear")))) for i in range(5000, 6000)) < 150
+
+
+def test_queues_as_long_as_the_longest_aim_already_count_as_overload() -> None:
+    """Guards against answers just within a long aim, while the dearest classes have a shorter one."""
+    balancer = make_balancer(12)
+    for i in range(100):
+        send = sends(balancer.handle(i, ask(i, i)))
+        for s in send:
+            balancer.handle(i, ok(s, latency=280))
+    assert balancer.throttle.pressure() > 0.5
+
+
+def test_a_server_that_only_turns_away_does_not_look_fast() -> None:
+    """Guards against sending ever more to a kind whose full queues refuse at once."""
+    balancer = make_balancer(0)
+    balancer.handle(0, Membership(ListKind.FULL, tuple(Member(i, kind="xy"[i % 2]) for i in range(8))))
+    number = 0
+    for step in range(40):
+        balancer.handle(step * 250.0, Timer("sample"))
+        for _ in range(10):
+            number += 1
+            for send in sends(balancer.handle(step * 250.0, ask(number, step * 250.0))):
+                full = send.node % 2 == 1 and number % 3 > 0
+                status = Status.FULL if full else Status.OK
+                latency = 1 if full else 10
+                balancer.handle(step * 250.0 + 1, Outcome(number, 0, send.node, status, latency, not full))
+    assert balancer.fleet.kind_weight["y"] < balancer.fleet.kind_weight["x"]
+
+
+def test_a_kind_whose_attempts_time_out_does_not_look_fast() -> None:
+    """Guards against judging an overloaded kind by the few answers it still gives."""
+    balancer = make_balancer(0)
+    balancer.handle(0, Membership(ListKind.FULL, tuple(Member(i, kind="xy"[i % 2]) for i in range(8))))
+    for i in range(400):
+        now = i * 25.0
+        if i % 10 == 0:
+            balancer.throttle.asked = balancer.throttle.good = 0.0
+            balancer.handle(now, Timer("sample"))
+        for send in sends(balancer.handle(now, ask(i, now))):
+            late = send.node % 2 == 1 and i % 3 > 0
+            status = Status.TIMEOUT if late else Status.OK
+            balancer.handle(now, Outcome(i, 0, send.node, status, 900 if late else 10, True))
+    assert balancer.fleet.kind_weight["y"] < balancer.fleet.kind_weight["x"]
+
+
+def test_shed_requests_earn_no_retry_budget() -> None:
+    """Guards against a jam that pays for its own further attempts."""
+    balancer = make_balancer(12)
+    balancer.retries, balancer.throttle.asked = 0.0, 1e9
+    for i in range(100):
+        assert sends(balancer.handle(0, ask(i, 0))) == []
+    assert balancer.retries == 0.0
+
+
+def test_one_server_in_trouble_loses_requests_to_their_next_place_unless_all_are() -> None:
+    """Guards against a home that answers too late at a trickle, where in-flight counts show nothing; and
+    against scattering keys when the whole fleet is in trouble."""
+    balancer = make_balancer(12)
+    k = key(3)
+    home, second = balancer.fleet.order(k)[:2]
+    home.throttle.asked = 1e6
+    assert sends(balancer.handle(0, ask(1, 0, k=k)))[0].node == second.id
+    balancer.throttle.asked, balancer.throttle.good = 100.0, 75.0
+    nodes = [s.node for i in range(2, 40) for s in sends(balancer.handle(0, ask(i, 0, k=k)))]
+    assert nodes[:5] == [home.id] * 5
+
+
+def test_list_is_asked_early_and_again_after_failures_with_growing_pauses() -> None:
+    balancer = Balancer(make_settings(list_on_request=True, balancers=100), 3, 0.0)
+    timers = [a for a in balancer.handle(0, Membership(ListKind.CACHED, make_fleet(4)))]
+    watch = next(t for t in timers if getattr(t, "token", "") == "watch")
+    assert watch.at <= 0.3 * RULES.ask_within_ms  # type: ignore[union-attr]
+    assert balancer.handle(500, Timer("watch")) == [Watch()]
+    pauses = []
+    for i in range(6):
+        timer = balancer.handle(1000 * i, Membership(ListKind.FAILED))[0]
+        pauses.append(timer.at - 1000 * i)  # type: ignore[union-attr]
+    assert pauses[0] <= 750 and 3000 <= pauses[-1] <= 9000
+
+
+def test_late_unknown_and_repeated_ids_are_ignored() -> None:
+    balancer = make_balancer()
+    send = sends(balancer.handle(0, ask(1, 0)))[0]
+    balancer.handle(5, ok(send))
+    assert balancer.handle(6, ok(send)) == []
+    assert balancer.handle(6, Outcome(99, 0, 1, Status.OK)) == []
+    assert balancer.handle(6, Outcome(1, 7, 424242, Status.TIMEOUT)) == []
+    assert balancer.handle(6, ClientGone(77)) == []
+    assert balancer.handle(6, StreamStarted(77, 0, 1)) == []
+    assert balancer.handle(6, Timer("never set")) == []
+
+
+def test_a_started_stream_is_left_to_the_client() -> None:
+    balancer = make_balancer(classes=(RequestClass("s", 300, 1000, stream=True),))
+    send = sends(balancer.handle(0, ask(1, 0, "s")))[0]
+    assert balancer.handle(10, StreamStarted(1, 0, send.node)) == []
+    assert balancer.handle(2000, Outcome(1, 0, send.node, Status.RESET, 2000, closed=True)) == []
+    assert not balancer.pending
+
+
+def test_aside_misses_and_writes_go_to_the_origin() -> None:
+    balancer = make_balancer(0, origin_kind="store")
+    fleet = (*make_fleet(4), Member(9, kind="store"))
+    balancer.handle(0, Membership(ListKind.FULL, fleet))
+    for i in range(40):
+        send = sends(balancer.handle(1, ask(i, 1)))[0]
+        assert send.node != 9
+        assert sends(balancer.handle(2, Outcome(i, 0, send.node, Status.MISS, 1)))[0].node == 9
+    assert sends(balancer.handle(3, ask(100, 3, "once", write=True)))[0].node == 9
+
+
+def test_a_restarted_server_is_cold_and_has_a_clean_record() -> None:
+    balancer = make_balancer(4)
+    node = balancer.fleet.ready[0]
+    node.fails, node.ejected_until = 5, 1e9
+    balancer.handle(2000, Membership(ListKind.DELTA, (Member(node.id, ready_at_ms=1900.0),)))
+    assert balancer.fleet.healthy(node, 2000)
+    assert balancer.fleet.warmth(node, 2000) < 0.3
+
+
+def second_copy(cls: str, overtaken: bool, pressure: float = 0.0) -> list[Send]:
+    """What goes out for a request long unanswered, where its server has served a later one or has not."""
+    balancer = make_balancer(4)
+    for number in range(1, 20):  # the usual latency becomes known
+        first = sends(balancer.handle(number, ask(number, number, cls, k=key(1))))[0]
+        balancer.handle(number + 10, ok(first))
+    asked = balancer.handle(1_000, ask(100, 1_000, cls, k=key(1)))
+    timers = [a for a in asked if isinstance(a, SetTimer)]
+    later = sends(balancer.handle(1_025, ask(101, 1_025, cls, k=key(1))))[0]
+    assert later.node == sends(asked)[0].node
+    if overtaken:
+        balancer.handle(1_029, ok(later))
+    balancer.throttle.asked += pressure
+    return [s for t in timers for s in sends(balancer.handle(t.at, Timer(t.token)))]
+
+
+def test_an_attempt_on_a_dead_connection_gets_a_second_copy_where_a_repeat_is_harmless() -> None:
+    for cls in ("read", "keyed"):
+        (send,) = second_copy(cls, overtaken=True)
+        assert send.id == 100
+    assert not second_copy("once", overtaken=True)
+
+
+def test_a_queue_or_a_jam_causes_no_second_copy() -> None:
+    assert not second_copy("read", overtaken=False)
+    assert not second_copy("read", overtaken=True, pressure=1_000.0)
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,48 @@
+"""Attempts and the keep-alive pool, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from notchflow.net.upstream import FADE_MS, IdleLimit
+from tests.rig import Rig, Seen, answer, run, until
+
+
+def test_a_break_in_midst_of_an_answer_says_nothing_of_idle_ages() -> None:
+    async def cut(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        if len(rig.nodes[0].seen) == 2:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nva")
+            await writer.drain()
+            writer.close()
+        else:
+            writer.write(answer())
+
+    async def test() -> None:
+        async with rig:
+            client = await rig.connect()
+            await client.ask()
+            await client.ask()
+            await until(lambda: rig.sent == 2)
+            assert sum(rig.host.idle_limit.breaks) == 0
+    rig = Rig(cut)
+    run(test())
+
+
+def test_ages_that_break_more_than_younger_ones_are_given_up_and_tried_again() -> None:
+    limit, stated = IdleLimit(10_000), IdleLimit(10_000).ms
+    for number in range(40):
+        limit.count(50.0, False)
+        limit.count(300.0, number % 2 == 0)
+    assert 50.0 < limit.ms <= 300.0
+    for turn in range(1, 8):
+        limit.fade(turn * FADE_MS)
+    assert limit.ms == stated
+
+
+def test_breaks_at_every_age_do_not_give_up_kept_connections() -> None:
+    """Incident rac6d92: the network broke connections at random, new ones most; dialling more cost twice."""
+    limit, stated, rng = IdleLimit(10_000), IdleLimit(10_000).ms, random.Random(5)
+    for _ in range(2_000):
+        limit.count(rng.choice([None, 10.0, 60.0, 200.0, 800.0]), rng.random() < 0.08)
+        assert limit.ms == stated
