Read the stated limits of memory and sockets

At fault: net/config.py, where `limits` was an empty dict, so each proxy budgeted for 1,024 sockets and 192 MB whatever it was given, and ran into EMFILE in accepts and dials.

--- a/notchflow/net/config.py
+++ b/notchflow/net/config.py
@@ -57,7 +57,7 @@
 
 def _decode(data: Mapping[str, Any], env: Mapping[str, str]) -> Config:
     settings, report_fields = wire.decode_settings(json.dumps(data.get("settings")))
-    limits = {}
+    limits = data.get("limits") or {}  # the platform kills over the one and refuses sockets over the other
     seed = data.get("seed", 0)
     return Config(
         name=str(env.get("ROUTER_NAME") or data.get("name") or ""),
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,6 +11,7 @@
 import pytest
 
 from notchflow.interface import ListKind, Membership
+from notchflow.net.config import load
 from notchflow.net.discovery import node_id
 from tests.rig import Rig, answer, run, until
 
@@ -68,3 +69,15 @@
                           timeout=30)
     assert done.returncode == 2
     assert len(done.stderr.splitlines()) == 1 and "Traceback" not in done.stderr
+
+
+def test_the_limits_and_idle_time_that_the_platform_states_are_the_ones_kept(tmp_path: Path) -> None:
+    """Guards against budgets for a larger machine: the platform kills over its memory, not over ours."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({
+        "name": "n3", "listen": "127.0.0.1:9000", "discovery": "127.0.0.1:8500", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 0.5, "memory_mb": 64, "sockets": 256},
+        "settings": {"Classes": [{"Name": "read", "ObjectiveMs": 300, "DeadlineMs": 500}],
+                     "Limits": {"ConnIdleMs": 4_000}}}))
+    config = load({"ROUTER_CONFIG": str(path)})
+    assert (config.memory_mb, config.sockets, config.conn_idle_ms) == (64, 256, 4_000)
