--- a/notchflow/net/upstream.py
+++ b/notchflow/net/upstream.py
@@ -351,6 +351,7 @@
         if self.retired:
             connection.close()
             return
+        connection.idle_since = self.host.clock.now()  # its age decides whether and by when it is used again
         self.idle.append(connection)
 
     def closed(self, connection: Connection) -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -29,6 +29,25 @@
     run(test())
 
 
+def test_a_connection_is_used_again_and_its_age_counts_from_its_last_answer() -> None:
+    """Guards against a new connection for each request: nodes hold few, and each costs them work."""
+    async def test() -> None:
+        async with Rig() as rig:
+            client = await rig.connect()
+            for _ in range(5):
+                assert (await client.ask()).status == 200
+            assert rig.nodes[0].connections == 1
+            (pool,) = rig.host.pools.values()
+            (connection,) = pool.idle
+            assert 0 <= rig.host.clock.now() - connection.idle_since < pool.limit.ms
+            pool.sweep(connection.idle_since + pool.limit.ms - 1)
+            assert pool.idle, "younger than the limit: kept"
+            pool.sweep(connection.idle_since + pool.limit.ms)
+            await until(lambda: not rig.nodes[0].open)
+            assert not pool.idle, "nodes close at their idle time; a request that crosses it is a reset"
+    run(test())
+
+
 def test_ages_that_break_more_than_younger_ones_are_given_up_and_tried_again() -> None:
     limit, stated = IdleLimit(10_000), IdleLimit(10_000).ms
     for number in range(40):
