Forget a client's connection in the idle list when it ends

Checked: the counting of descriptors (each accept and dial is given back once). At fault: Front.lost in net/downstream.py took a client out of `clients` but not out of `idle`, so the dead stayed for good, and close_idle "made room" by closing them.

--- a/notchflow/net/downstream.py
+++ b/notchflow/net/downstream.py
@@ -476,6 +476,7 @@
 
     def lost(self, client: Client) -> None:
         self.clients.pop(client, None)
+        self.idle.pop(client, None)  # else the dead stay for good, and closing one of them makes no room
         self.host.freed()
 
     def sweep(self, now: float) -> None:
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -206,6 +206,22 @@
     run(test())
 
 
+def test_a_client_that_has_left_is_forgotten_and_makes_no_room_twice() -> None:
+    """Guards against memory that grows with each client, and against making room by closing the dead."""
+    async def test() -> None:
+        async with Rig(limits={"sockets": 44}) as rig:
+            for _ in range(10):
+                client = await rig.connect()
+                assert (await client.ask()).status == 200
+                client.reset()
+            await until(lambda: not rig.host.front.clients)
+            assert not rig.host.front.idle and not rig.host.front.close_idle()
+            for _ in range(40):  # they keep their connections; the room is not theirs for good
+                assert (await rig.ask()).status == 200
+            assert rig.host.used <= rig.host.descriptors
+    run(test())
+
+
 def test_while_stopping_what_comes_is_answered_and_then_the_loop_ends() -> None:
     gate = asyncio.Event()
 
