Forget servers that are gone

Checked: the memo of homes (emptied at each change), counters and both key lists (halved, dropped), timers (one a request, gone by its deadline), pools (deleted when retired), idle clients (mended before).

What holds is the test: 500 lists with new ids left 2,000 records, now 4.

--- a/notchflow/logic.py
+++ b/notchflow/logic.py
@@ -240,6 +240,8 @@
                 known.restart(member)
             else:
                 known.member = member
+        # Ids are ever new where machines are replaced: what is gone is forgotten once nothing is out there.
+        self.nodes = {i: n for i, n in self.nodes.items() if n.in_flight or n.member.state is not State.GONE}
         kind = self.settings.origin_kind
         live = [n for n in self.nodes.values() if n.member.state is State.READY]
         self.origin = next((n for n in live if n.member.kind == kind), None) if kind is not None else None
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -442,6 +442,19 @@
     assert balancer.fleet.warmth(node, 2000) < 0.3
 
 
+def test_servers_that_are_gone_are_forgotten_once_nothing_is_out_there() -> None:
+    """Guards against memory and CPU that grow all day where servers are replaced under new ids."""
+    balancer = make_balancer(4)
+    send = sends(balancer.handle(0, ask(1, 0)))[0]
+    for number in range(500):
+        fleet = tuple(Member(10_000 + 4 * number + i) for i in range(4))
+        balancer.handle(number, Membership(ListKind.FULL, fleet))
+    assert len(balancer.fleet.nodes) == 5, "one attempt is still out at a server that is gone"
+    balancer.handle(600, ok(send))
+    balancer.handle(601, Membership(ListKind.DELTA, (Member(10_000, State.GONE),)))
+    assert len(balancer.fleet.nodes) == 4 and balancer.fleet.in_flight == 0
+
+
 def second_copy(cls: str, overtaken: bool, pressure: float = 0.0) -> list[Send]:
     """What goes out for a request long unanswered, where its server has served a later one or has not."""
     balancer = make_balancer(4)
