Charge no retry budget for attempts that never ran

Checked by printing each quarter second what the module counts: in-flight counts agree with the attempts that are out, ejection and trials work, the pressure follows the refusals. At fault: Balancer._further in logic.py took from the budget for every further attempt, though RETRY_SHARE's own comment grants it for those "that may have cost work"; refused and unmade connections cost none, and the limit on attempts bounds them.

--- a/notchflow/logic.py
+++ b/notchflow/logic.py
@@ -679,10 +679,13 @@
         if self.throttle.pressure() > 0 and not pending.request.write and not status.never_ran:
             self._finish(pending)
             return
-        if self.retries < 1 or pending.request.deadline - now <= self.settings.tick_ms:
+        # What never ran has cost no work: only the most attempts allowed bound it, so that one full or dead
+        # server does not have its requests refused while others have room.
+        short = not status.never_ran and self.retries < 1
+        if short or pending.request.deadline - now <= self.settings.tick_ms:
             self._finish(pending)
             return
-        self.retries -= 1
+        self.retries -= 0 if status.never_ran else 1
         if self.settings.origin_kind is not None and pending.request.write:
             self._finish(pending)
             return
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -252,6 +252,18 @@
     assert 20 <= further <= 45
 
 
+def test_what_never_ran_is_tried_elsewhere_without_spending_the_retry_budget() -> None:
+    """Guards against refusing the requests of one full server while the others have room."""
+    balancer = make_balancer(12)
+    for i in range(100):
+        balancer.throttle.asked = balancer.throttle.good = 0.0
+        send = sends(balancer.handle(i, ask(i, i, "once")))[0]
+        (again,) = sends(balancer.handle(i, Outcome(i, 0, send.node, Status.FULL, 1)))
+        assert again.node != send.node
+        balancer.handle(i, ok(again, 1))
+    assert balancer.retries >= 1
+
+
 def test_in_a_jam_a_read_that_may_have_run_is_not_tried_elsewhere() -> None:
     """Guards against doing the work of late reads twice, with a fetch at the second place on top: that kept a
     fleet jammed with three in four requests refused."""
