Let go of clients that send no whole request within two seconds

Checked: what cannot be read is answered at once, heads and bodies are bounded, the idle list gives way when descriptors run short. At fault: close_if_over in net/downstream.py, where a silent client was kept 75 s, half a request 10 s after its last byte, and a trickle for ever.

--- a/notchflow/net/downstream.py
+++ b/notchflow/net/downstream.py
@@ -26,6 +26,7 @@
 BACKLOG = 4_096
 IDLE_MS = 75_000.0
 STALLED_MS = 10_000.0
+ARRIVE_MS = 2_000.0  # by when a request must have come whole: who says nothing, or half, keeps no descriptor
 LINGER_MS = 2_000.0
 SERVED_SHARE = 0.75
 READ = frozenset({b"x-call-id", b"x-call-class", b"x-caller", b"x-budget", b"x-again", b"x-call-cost",
@@ -34,8 +35,8 @@
 PREFIX = b"/api/"
 READY = b"/health/ready"
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-           413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
-           503: b"Service Unavailable", 504: b"Gateway Timeout"}
+           408: b"Request Timeout", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+           502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
 
 
 class Call:
@@ -69,7 +70,8 @@
     """A client's connection."""
 
     __slots__ = ("front", "host", "transport", "parser", "arriving", "in_head", "head_size", "waiting",
-                 "current", "stepping", "paused", "half_closed", "closing", "chunked", "charged", "active_at")
+                 "current", "stepping", "paused", "half_closed", "closing", "chunked", "charged", "active_at",
+                 "due_since")
 
     def __init__(self, front: Front) -> None:
         self.front = front
@@ -88,12 +90,13 @@
         self.chunked = False
         self.charged = 0
         self.active_at = 0.0
+        self.due_since: float | None = None  # a request is due: the first, or one that has begun to come
 
     # -- the transport's callbacks
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.parser = HttpRequestParser(self)
-        self.active_at = self.host.clock.turn()
+        self.active_at = self.due_since = self.host.clock.turn()
         self.front.clients[self] = None
         self.front.idle[self] = None
 
@@ -159,6 +162,7 @@
     def on_message_begin(self) -> None:
         self.arriving = Call(self)
         self.in_head, self.head_size = True, 0
+        self.due_since = self.host.clock.turn()
 
     def on_url(self, url: bytes) -> None:
         if self.arriving is not None:
@@ -214,6 +218,7 @@
 
     def on_message_complete(self) -> None:
         call, self.arriving = self.arriving, None
+        self.due_since = None
         if call is None:
             return
         call.arrived_at = self.host.clock.turn()
@@ -370,7 +375,13 @@
             self.transport.abort()
         elif self.paused and quiet > STALLED_MS:
             self.transport.abort()
-        elif not busy and quiet > (STALLED_MS if self.arriving is not None else IDLE_MS):
+        elif not busy and self.due_since is not None and now - self.due_since > ARRIVE_MS:
+            if self.arriving is not None and not self.closing:
+                self._fault(408)
+                self._step()
+            else:
+                self.transport.close()
+        elif not busy and quiet > IDLE_MS:
             self.transport.close()
 
 
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -222,6 +222,28 @@
     run(test())
 
 
+def test_who_sends_no_whole_request_is_soon_let_go_and_who_has_been_served_is_kept() -> None:
+    """Guards against descriptors held by clients that connect and say nothing, or trickle one head."""
+    async def test() -> None:
+        async with Rig() as rig:
+            silent, half, served = [await rig.connect() for _ in range(3)]
+            assert (await served.ask()).status == 200
+            half.writer.write(b"GET /api/00aa HTTP/1.1\r\nX-Call-")
+            clients = rig.host.front.clients
+            await until(lambda: sum(c.arriving is not None for c in clients) == 1 and len(clients) == 3)
+            began = max(c.due_since or 0.0 for c in clients)
+            rig.host.front.sweep(began + 1_000)
+            half.writer.write(b"Id: 1\r\n")
+            await until(lambda: any(c.head_size > 35 for c in clients))
+            assert len(clients) == 3
+            rig.host.front.sweep(began + 2_100)
+            assert await silent.reader.read() == b""
+            seen = await half.receive()
+            assert seen is not None and seen.status == 408
+            assert (await served.ask()).status == 200
+    run(test())
+
+
 def test_while_stopping_what_comes_is_answered_and_then_the_loop_ends() -> None:
     gate = asyncio.Event()
 
