Follow discovery to its new address on SIGHUP

Checked: nothing in the program handled the signal, and the start's ROUTER_DISCOVERY comes before the file, so a mere re-read would have gone on asking the old address. Now SIGHUP reads the file again without that variable; one that cannot be read is logged and changes nothing. Discovery drops the call that is out and watches at the new address from the revision it knows. A call that ends while its connection is still being made now gives that up too, as attempts do.

--- a/notchflow/__main__.py
+++ b/notchflow/__main__.py
@@ -11,7 +11,7 @@
 
 import uvloop
 
-from notchflow.net.config import ConfigError, load
+from notchflow.net.config import ConfigError, load, reload
 from notchflow.net.host import Host
 
 LOG_EVERY_S = 10.0  # a message comes at most this often: what goes wrong goes wrong a thousand times a second
@@ -36,6 +36,19 @@
         return True
 
 
+log = logging.getLogger(__name__)
+
+
+def on_hangup(host: Host) -> None:
+    """Takes over the file as it is now; one that cannot be read changes nothing and ends nothing."""
+    try:
+        config = reload(os.environ)
+    except ConfigError as error:
+        log.error("the configuration stays as it was: %s", error)
+        return
+    host.reload(config)
+
+
 def main() -> int:
     """Runs one proxy."""
     try:
@@ -50,13 +63,14 @@
     loop = uvloop.new_event_loop()
     asyncio.set_event_loop(loop)
     host = Host(config, loop)
+    loop.add_signal_handler(signal.SIGHUP, on_hangup, host)
+    loop.add_signal_handler(signal.SIGTERM, host.stop)
+    loop.add_signal_handler(signal.SIGINT, host.stop)
     try:
         host.start()
     except OSError as error:
         print(f"notchflow: cannot listen on {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
         return 1
-    loop.add_signal_handler(signal.SIGTERM, host.stop)
-    loop.add_signal_handler(signal.SIGINT, host.stop)
     loop.run_forever()
     return 0
 
--- a/notchflow/net/config.py
+++ b/notchflow/net/config.py
@@ -55,6 +55,11 @@
         raise ConfigError(f"ROUTER_CONFIG: {path}: {error!s:.300}") from None
 
 
+def reload(env: Mapping[str, str]) -> Config:
+    """Reads the file again. It names discovery now: the variable is still that of the start."""
+    return load({name: value for name, value in env.items() if name != "ROUTER_DISCOVERY"})
+
+
 def _decode(data: Mapping[str, Any], env: Mapping[str, str]) -> Config:
     settings, report_fields = wire.decode_settings(json.dumps(data.get("settings")))
     limits = data.get("limits") or {}  # the platform kills over the one and refuses sockets over the other
--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -94,6 +94,19 @@
         if on and self.call is None:
             self._call()
 
+    def move(self, address: Address) -> None:
+        """Goes on at another address, from the revision that is known. The old one tells nothing any more:
+        the watch that is out there must not be waited for."""
+        if address == self.pool.address:
+            return
+        log.info("discovery moves to %s:%d", *address)
+        call, self.call = self.call, None
+        if call is not None:
+            call.drop()
+        self.pool.retire()
+        self.pool = Pool(self.host, address, CONNECT_MS, IdleLimit(IDLE_MS))
+        self.watch(True)
+
     def _call(self, _: object = None) -> None:
         if self.call is not None or not self.wanted:
             return
@@ -146,7 +159,7 @@
     hold_max = LIST_MAX
 
     def __init__(self, discovery: Discovery, data: bytes) -> None:
-        self.discovery = discovery
+        self.discovery, self.pool = discovery, discovery.pool
         self.data = data
         self.connection: Connection | None = None
         self.over = False
@@ -181,9 +194,15 @@
         self._end(None, "connection lost" if sent else "could not connect")
 
     def _end(self, listing: Listing | None, problem: str) -> None:
-        if self.over:
-            return
+        if not self.over:
+            self.drop()
+            self.discovery.ended(listing, problem)
+
+    def drop(self) -> None:
+        """Waits no longer: neither for an answer nor for a connection that is still being made."""
         self.over = True
         if self.connection is not None:
             self.connection.abandon()
-        self.discovery.ended(listing, problem)
+            self.connection = None
+        else:
+            self.pool.give_up(self)
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -125,6 +125,12 @@
         self.at(self.clock.now() + SWEEP_MS, self._sweep)
         self.front.listen()
 
+    def reload(self, config: Config) -> None:
+        """A new configuration: discovery may have moved. What the module was told at its start stays."""
+        if config.settings != self.settings or config.listen != self.config.listen:
+            log.warning("new settings and a new address to listen on wait for the next start")
+        self.discovery.move(config.discovery)
+
     def stop(self) -> None:
         if self.front.draining:
             return
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -24,19 +24,19 @@
 PATIENCE_S = 10.0  # only a hung test waits this long
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
+def run(test: Coroutine[Any, Any, None], patience_s: float = PATIENCE_S) -> None:
     """Runs one test on the proxy's own kind of loop."""
     loop = uvloop.new_event_loop()
     asyncio.set_event_loop(loop)
     try:
-        loop.run_until_complete(_bounded(test))
+        loop.run_until_complete(_bounded(test, patience_s))
     finally:
         asyncio.set_event_loop(None)
         loop.close()
 
 
-async def _bounded(test: Coroutine[Any, Any, None]) -> None:
-    async with asyncio.timeout(PATIENCE_S):
+async def _bounded(test: Coroutine[Any, Any, None], patience_s: float) -> None:
+    async with asyncio.timeout(patience_s):
         await test
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
+import signal
+import socket
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -13,7 +17,7 @@
 from notchflow.interface import ListKind, Membership
 from notchflow.net.config import load
 from notchflow.net.discovery import node_id
-from tests.rig import Rig, answer, run, until
+from tests.rig import Peer, Rig, Seen, answer, run, until
 
 
 def test_a_watch_goes_on_from_each_answer_and_deltas_are_applied() -> None:
@@ -54,6 +58,84 @@
     run(test())
 
 
+def test_discovery_that_moves_is_followed_at_once_and_the_old_one_is_left() -> None:
+    async def test() -> None:
+        async with Rig() as rig:
+            told = rig.told(Membership)
+            rig.host.discovery.watch(True)
+            _, old = await rig.calls.get()
+            moved = Peer(rig._answer_discovery)
+            await moved.start()
+            config = replace(rig.host.config, discovery=("127.0.0.1", moved.port))
+            rig.host.reload(config)
+            seen, new = await rig.calls.get()
+            assert "index=41" in seen.line and len(moved.seen) == 1, "the list goes on where it was"
+            await until(lambda: not rig.discovery.open)
+            rig.host.reload(config)
+            new.write(rig.listing(43, False, [rig.entry(0, phase="draining")]))
+            seen, _ = await rig.calls.get()
+            assert "index=43" in seen.line and len(moved.seen) == 2 and len(rig.discovery.seen) == 1
+            assert [m.kind for m in told] == [ListKind.DELTA]
+            assert (await rig.ask()).status == 503 and rig.sent == 0
+            moved.stop()
+            await until(lambda: len(told) > 1)
+    run(test())
+
+
+def test_the_program_lives_through_a_hangup_and_reads_from_the_file_where_discovery_is(
+        tmp_path: Path) -> None:
+    """Guards against SIGHUP's default, which ends a process, and against the variable of the start."""
+    def listing(port: int) -> dict[str, object]:
+        return {"listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{port}", "settings": {
+            "MembershipMode": "pushed", "Classes": [{"Name": "read", "ObjectiveMs": 300, "DeadlineMs": 500}]}}
+
+    async def test() -> None:
+        calls = [asyncio.Event(), asyncio.Event()]
+
+        def peer(number: int) -> Peer:
+            async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+                calls[number].set()
+            return Peer(script)
+
+        first, second = peer(0), peer(1)
+        await first.start()
+        await second.start()
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(listing(first.port)))
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            port = free.getsockname()[1]
+        env = os.environ | {"ROUTER_CONFIG": str(path), "ROUTER_DISCOVERY": f"127.0.0.1:{first.port}",
+                            "ROUTER_LISTEN": f"127.0.0.1:{port}", "ROUTER_NAME": "n0"}
+        proxy = await asyncio.create_subprocess_exec(sys.executable, "-m", "notchflow", env=env)
+        try:
+            await calls[0].wait()
+            await until_listening(port)  # its handlers are set before it listens
+            path.write_text("{")
+            proxy.send_signal(signal.SIGHUP)
+            await until_listening(port)
+            path.write_text(json.dumps(listing(second.port)))
+            proxy.send_signal(signal.SIGHUP)
+            await calls[1].wait()
+            proxy.terminate()
+            assert await proxy.wait() == 0
+        finally:
+            if proxy.returncode is None:
+                proxy.kill()
+            for server in (first, second):
+                server.stop()
+    run(test(), patience_s=60.0)  # a program has to start
+
+
+async def until_listening(port: int) -> None:
+    while True:
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.close()
+            return
+        except OSError:
+            await asyncio.sleep(0.01)
+
+
 def test_a_node_s_number_is_the_same_at_every_proxy() -> None:
     assert node_id("s-5be2a07c") == node_id("s-5be2a07c") != node_id("s-5be2a07d")
     assert node_id("s-5be2a07c") < 1 << 64
