Take an answer announced as longer than any value for a spoilt one

Checked: heads that cannot be read or do not end, lengths that contradict each other and broken chunks already end as resets and reads go elsewhere. At fault: Connection.on_headers_complete in net/upstream.py began to stream whatever exceeds what is held whole, also an answer of 3 GB, which then runs until the client leaves. Such a head is now a reset: it may have run, and a read is tried at another node.

--- a/notchflow/net/upstream.py
+++ b/notchflow/net/upstream.py
@@ -21,6 +21,7 @@
 
 HOLD_MAX = 64 << 10  # bytes of an answer held whole, so that a broken one can be retried; more is streamed
 HEAD_MAX = 32 << 10
+LENGTH_MAX = 32 << 20  # no value is so long: who announces more is spoilt, and another node may still serve
 RETIRE_SHARE = 0.7
 STALE_WITHIN_MS = 50.0
 AGES_MS = (0.0, 20.0, 30.0, 45.0, 70.0, 100.0, 150.0, 225.0, 340.0, 500.0, 1_000.0, 2_000.0, 5_000.0)
@@ -250,7 +251,12 @@
         if named is not None and answer.passed:
             drop = tuple(t.strip().lower() + b":" for t in named.split(b","))
             answer.passed = [line for line in answer.passed if not line.lower().startswith(drop)]
-        if answer.length is not None and answer.length > self.exchange.hold_max:
+        if answer.length is None or answer.length <= self.exchange.hold_max:
+            return
+        if answer.length > LENGTH_MAX:
+            log.warning("a node announced an answer of %d bytes", answer.length)
+            self._fail()
+        else:
             self._stream()
 
     def on_body(self, data: bytes) -> None:
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -47,6 +47,7 @@
     (says(b"HTTP/1.1 banana\r\n\r\n"), Status.RESET, 502),
     (says(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc"), Status.RESET, 502),
     (says(SWITCH), Status.RESET, 502),
+    (says(b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nthe first of it"), Status.RESET, 502),
     (says(b"HTTP/1.1 200 OK\r\nX-Long: " + b"a" * 40_000), Status.RESET, 502),
     (silent, Status.TIMEOUT, 504),
 ]
