See a node's health class by class

Checked and ruled out: single keys (hundreds of them), misses and the origin (misses steady at 190 a second), connections (kept ones, no resets), lists (all five up), in-flight counts (they agree with what is out). At fault: Fleet.ended in logic.py, where any answer is a sign of life for the whole node, so the class that hangs kept going there, each time-out added to the pressure, and good requests were shed. Now an attempt that times out though a later one was served, with no answer to its class since, counts against that class at that node; after three in a row the class leaves it for a while and one request tries it again.

--- a/notchflow/logic.py
+++ b/notchflow/logic.py
@@ -54,6 +54,8 @@
 EJECT_MS, EJECT_MAX_MS = 1_000.0, 8_000.0
 TRIAL_SHARE: Final = 0.4  # of the time left for an attempt at a server under suspicion
 QUIET_SHARE: Final = 0.34  # of the fleet that time-outs alone may eject: more is trouble elsewhere
+MUTE_AFTER: Final = 3  # attempts of one class, in a row, that a server leaves while it serves others
+MUTE_SHARE: Final = 0.6  # of the fleet that may be mute for a class: more is trouble behind the fleet
 TOLERANCE: Final = 1.2
 COMFORT: Final = 0.7
 CHANCE: Final = 4.0  # unanswered requests that are no evidence yet, at a trickle above all
@@ -181,11 +183,26 @@
         return max(0.0, (self.asked - TOLERANCE * self.good - CHANCE) / (self.asked + 1))
 
 
+class Mute:
+    """A class that a server has lately left unanswered, while it served others."""
+
+    __slots__ = ("fails", "until", "pause", "out")
+
+    def __init__(self) -> None:
+        self.fails = 0
+        self.until = 0.0
+        self.pause = EJECT_MS
+        self.out = 0  # attempts since it was found mute: one at a time tries whether it still is
+
+    def bars(self, now: float) -> bool:
+        return self.until > now or (self.until > 0 and self.out > 0)
+
+
 class Node:
     """One server as this balancer knows it."""
 
     __slots__ = ("id", "salt", "member", "weight", "in_flight", "fails", "answered_at",
-                 "ejected_until", "pause", "cold_sent", "trial", "throttle", "newest")
+                 "ejected_until", "pause", "cold_sent", "trial", "throttle", "newest", "heard", "mutes")
 
     def __init__(self, member: Member) -> None:
         self.id = member.node
@@ -203,6 +220,8 @@
         self.trial = False
         self.cold_sent: deque[float] = deque()
         self.throttle = Throttle()
+        self.heard: dict[str, float] = {}  # class -> when it last answered one
+        self.mutes: dict[str, Mute] = {}
 
 
 class Fleet:
@@ -325,9 +344,12 @@
         """The part of all traffic that is due to a server."""
         return node.weight / self.total_weight if self.total_weight > 0 else 1.0
 
-    def healthy(self, node: Node, now: float) -> bool:
-        """Not ejected, and no trial of an ejected one is out."""
-        return node.ejected_until <= now and not (node.trial and node.in_flight > 0)
+    def healthy(self, node: Node, now: float, cls: str = "") -> bool:
+        """Not ejected, not mute for this class, and no trial of one that was is out."""
+        if node.ejected_until > now or (node.trial and node.in_flight > 0):
+            return False
+        mute = node.mutes.get(cls)
+        return mute is None or not mute.bars(now)
 
     def bounded(self, node: Node) -> bool:
         """At its load bound: far over its due part of what this instance has in flight."""
@@ -344,7 +366,9 @@
         return len(sent) >= max(COLD_BURST, COLD_SLACK * rules.overload_factor * due)
 
     # -- what was seen
-    def sent(self, node: Node, now: float) -> None:
+    def sent(self, node: Node, now: float, cls: str) -> None:
+        if cls in node.mutes:
+            node.mutes[cls].out += 1
         node.in_flight += 1
         self.in_flight += 1
         if self.cold(node, now):
@@ -355,6 +379,7 @@
         node.in_flight = max(0, node.in_flight - 1)
         self.in_flight = max(0, self.in_flight - 1)
         status = outcome.status
+        self._listen(now, node, outcome, cls.name)
         if status in (Status.OK, Status.ERROR, Status.FULL, Status.MISS):
             node.answered_at = now  # whatever it says, it is alive
             node.newest = max(node.newest, now - outcome.latency_ms)
@@ -374,6 +399,26 @@
             total[0] += ratio
             total[1] += 1
 
+    def _listen(self, now: float, node: Node, outcome: Outcome, cls: str) -> None:
+        """A server may hang on one class alone; the answers it gives to others must not hide that. A queue
+        looks otherwise: there nothing sent later is served, and some of the class still are."""
+        mute = node.mutes.get(cls)
+        if mute is not None:
+            mute.out = max(0, mute.out - 1)
+        sent_at = now - outcome.latency_ms
+        if outcome.status in (Status.OK, Status.ERROR, Status.MISS):
+            node.heard[cls] = now
+            node.mutes.pop(cls, None)
+        elif outcome.status is Status.TIMEOUT and node.newest > sent_at > node.heard.get(cls, -math.inf):
+            if mute is None and outcome.latency_ms <= SECOND_AFTER * self.class_latency.get(cls, 0.0):
+                return  # it was given too little time to tell
+            mute = node.mutes.setdefault(cls, Mute())
+            mute.fails += 1
+            silent = sum(1 for n in self.ready if cls in n.mutes and n.mutes[cls].until > now)
+            if mute.fails >= MUTE_AFTER and mute.until <= now and silent < MUTE_SHARE * len(self.ready):
+                mute.until = now + mute.pause
+                mute.pause = min(mute.pause * 2, EJECT_MAX_MS)
+
     def _failed(self, now: float, node: Node, refused: bool) -> None:
         """No sign of life. Servers that are merely slow look like this too, then many at once do: time-outs
         alone eject only a part of the fleet; a connection that cannot be opened is proof enough."""
@@ -555,7 +600,8 @@
         if not self.factoring or width < 2:
             return order
         order = fleet.ranked(request.key, len(fleet.ready))
-        head = [n for n in order if fleet.warmth(n, now) >= 1.0 and fleet.healthy(n, now)][:width]
+        warm = [n for n in order if fleet.warmth(n, now) >= 1.0]
+        head = [n for n in warm if fleet.healthy(n, now, request.cls)][:width]
         if not head:
             return order
         self.turn += 1
@@ -565,7 +611,7 @@
     def _pick(self, now: float, pending: Pending) -> Node | None:
         """The first server in order that is allowed, healthy and under its bound; failing that, the first
         that is allowed."""
-        fleet = self.fleet
+        fleet, cls = self.fleet, pending.cls.name
         fallback: Node | None = None
 
         def allowed(node: Node) -> bool:
@@ -575,14 +621,14 @@
         for node in self._candidates(now, pending.request):
             if not allowed(node):
                 continue
-            if fleet.healthy(node, now) and not fleet.overspent(node, now, self.rate):
+            if fleet.healthy(node, now, cls) and not fleet.overspent(node, now, self.rate):
                 if not fleet.bounded(node) and not self._held_back(node):
                     return node
                 fallback = fallback or node
         if fallback is not None:
             return fallback
         rest = [n for n in fleet.ready if allowed(n)]  # the remembered places are out
-        well = [n for n in rest if fleet.healthy(n, now) and not fleet.overspent(n, now, self.rate)]
+        well = [n for n in rest if fleet.healthy(n, now, cls) and not fleet.overspent(n, now, self.rate)]
         return min(well or rest, key=lambda n: (n.in_flight, n.id)) if rest else None
 
     def _held_back(self, node: Node) -> bool:
@@ -645,12 +691,13 @@
         if node is None or not usable or left <= 0 or pending.attempts >= self.settings.limits.max_attempts:
             self._finish(pending)
             return
-        suspect = node.fails > 0 and pending.attempts + 1 < self.settings.limits.max_attempts
+        doubtful = node.fails > 0 or pending.cls.name in node.mutes
+        suspect = doubtful and pending.attempts + 1 < self.settings.limits.max_attempts
         timeout = left * TRIAL_SHARE if suspect and pending.cls.effect is Effect.SAFE else None
         pending.out[pending.attempts] = node, now
         pending.attempts += 1
         pending.tried.append(node)
-        self.fleet.sent(node, now)
+        self.fleet.sent(node, now, pending.cls.name)
         self.actions.append(Send(pending.request.id, node.id, timeout))
 
     def _outcome(self, now: float, outcome: Outcome) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -228,6 +228,29 @@
     assert sends(balancer.handle(2600, ask(8, 2600, k=k)))[0].node == home
 
 
+def test_a_server_that_hangs_on_one_class_is_left_by_that_class_and_tried_again() -> None:
+    """Guards against a server whose answers to other classes hide that it never answers this one."""
+    balancer = make_balancer(12)
+    k = key(3)
+    home = balancer.fleet.order(k)[0].id
+    for i in range(3):
+        balancer.handle(100 * i, ask(3 * i, 100 * i, k=k))
+        other = sends(balancer.handle(100 * i + 1, ask(3 * i + 1, 100 * i + 1, "once", k)))[0]
+        assert other.node == home
+        balancer.handle(100 * i + 11, ok(other))
+    for i in range(3):
+        balancer.handle(900 + 100 * i, Outcome(3 * i, 0, home, Status.TIMEOUT, 900))
+    balancer.throttle.asked = 0.0
+    read, paid = [sends(balancer.handle(1_200, ask(20 + i, 1_200, c, k)))[0]
+                  for i, c in enumerate(("read", "once"))]
+    assert read.node != home and paid.node == home
+    trial = sends(balancer.handle(2_300, ask(30, 2_300, k=k)))[0]
+    assert trial.node == home and trial.timeout_ms is not None
+    assert sends(balancer.handle(2_301, ask(31, 2_301, k=k)))[0].node != home, "one trial at a time"
+    balancer.handle(2_310, ok(trial))
+    assert sends(balancer.handle(2_320, ask(32, 2_320, k=k)))[0].node == home
+
+
 def test_a_slow_fleet_is_not_ejected_whole() -> None:
     """Guards against taking trouble behind all servers (a slow origin) for dead servers."""
     balancer = make_balancer(12)
