Count errors against a class at a node, and tell a hang from a queue

Checked and ruled out: the lists, latencies, single keys (a key's order-status is served where its menu-read errs), connections. Now failures of a class at a node (errors, resets, hangs) are counted less its answers; five more of them than answers and the class leaves for a while. A time-out counts only if something sent half the wait later was served, as for second copies: otherwise it is a queue.

--- a/notchflow/logic.py
+++ b/notchflow/logic.py
@@ -54,7 +54,7 @@
 EJECT_MS, EJECT_MAX_MS = 1_000.0, 8_000.0
 TRIAL_SHARE: Final = 0.4  # of the time left for an attempt at a server under suspicion
 QUIET_SHARE: Final = 0.34  # of the fleet that time-outs alone may eject: more is trouble elsewhere
-MUTE_AFTER: Final = 3  # attempts of one class, in a row, that a server leaves while it serves others
+MUTE_AFTER: Final = 5  # more failures than answers of one class at a server that serves the others
 MUTE_SHARE: Final = 0.6  # of the fleet that may be mute for a class: more is trouble behind the fleet
 TOLERANCE: Final = 1.2
 COMFORT: Final = 0.7
@@ -184,15 +184,15 @@
 
 
 class Mute:
-    """A class that a server has lately left unanswered, while it served others."""
+    """A class that a server has lately failed, while it served others."""
 
     __slots__ = ("fails", "until", "pause", "out")
 
     def __init__(self) -> None:
-        self.fails = 0
+        self.fails = 0  # less the answers since
         self.until = 0.0
         self.pause = EJECT_MS
-        self.out = 0  # attempts since it was found mute: one at a time tries whether it still is
+        self.out = 0  # attempts since it first failed: one at a time tries whether it still does
 
     def bars(self, now: float) -> bool:
         return self.until > now or (self.until > 0 and self.out > 0)
@@ -202,7 +202,7 @@
     """One server as this balancer knows it."""
 
     __slots__ = ("id", "salt", "member", "weight", "in_flight", "fails", "answered_at",
-                 "ejected_until", "pause", "cold_sent", "trial", "throttle", "newest", "heard", "mutes")
+                 "ejected_until", "pause", "cold_sent", "trial", "throttle", "newest", "mutes")
 
     def __init__(self, member: Member) -> None:
         self.id = member.node
@@ -220,7 +220,6 @@
         self.trial = False
         self.cold_sent: deque[float] = deque()
         self.throttle = Throttle()
-        self.heard: dict[str, float] = {}  # class -> when it last answered one
         self.mutes: dict[str, Mute] = {}
 
 
@@ -379,7 +378,7 @@
         node.in_flight = max(0, node.in_flight - 1)
         self.in_flight = max(0, self.in_flight - 1)
         status = outcome.status
-        self._listen(now, node, outcome, cls.name)
+        self._listen(now, node, outcome, cls)
         if status in (Status.OK, Status.ERROR, Status.FULL, Status.MISS):
             node.answered_at = now  # whatever it says, it is alive
             node.newest = max(node.newest, now - outcome.latency_ms)
@@ -399,25 +398,30 @@
             total[0] += ratio
             total[1] += 1
 
-    def _listen(self, now: float, node: Node, outcome: Outcome, cls: str) -> None:
-        """A server may hang on one class alone; the answers it gives to others must not hide that. A queue
-        looks otherwise: there nothing sent later is served, and some of the class still are."""
+    def _listen(self, now: float, node: Node, outcome: Outcome, of: RequestClass) -> None:
+        """A server may hang or err on one class alone, or on most of it; the answers it gives to others, and
+        the few to this one, must not hide that. In a queue nothing sent half the wait later is served."""
+        cls, status, took = of.name, outcome.status, outcome.latency_ms
         mute = node.mutes.get(cls)
         if mute is not None:
             mute.out = max(0, mute.out - 1)
-        sent_at = now - outcome.latency_ms
-        if outcome.status in (Status.OK, Status.ERROR, Status.MISS):
-            node.heard[cls] = now
-            node.mutes.pop(cls, None)
-        elif outcome.status is Status.TIMEOUT and node.newest > sent_at > node.heard.get(cls, -math.inf):
-            if mute is None and outcome.latency_ms <= SECOND_AFTER * self.class_latency.get(cls, 0.0):
-                return  # it was given too little time to tell
-            mute = node.mutes.setdefault(cls, Mute())
-            mute.fails += 1
-            silent = sum(1 for n in self.ready if cls in n.mutes and n.mutes[cls].until > now)
-            if mute.fails >= MUTE_AFTER and mute.until <= now and silent < MUTE_SHARE * len(self.ready):
-                mute.until = now + mute.pause
-                mute.pause = min(mute.pause * 2, EJECT_MAX_MS)
+            if status in (Status.OK, Status.MISS):
+                mute.fails, mute.until = mute.fails - 1, 0.0
+                if mute.fails <= 0:
+                    del node.mutes[cls]
+        if status in (Status.TIMEOUT, Status.CANCELLED):
+            trial = mute is not None and mute.until > 0
+            long = took > min(SECOND_AFTER * self.class_latency.get(cls, math.inf), of.aim_ms)
+            if node.newest <= now - took / 2 or not (long or trial):
+                return  # a queue, or too little time to tell
+        elif status not in (Status.ERROR, Status.RESET):
+            return
+        mute = node.mutes.setdefault(cls, Mute())
+        mute.fails = min(mute.fails + 1, MUTE_AFTER)
+        silent = sum(1 for n in self.ready if cls in n.mutes and n.mutes[cls].until > now)
+        if mute.fails >= MUTE_AFTER and mute.until <= now and silent < MUTE_SHARE * len(self.ready):
+            mute.until = now + mute.pause
+            mute.pause = min(mute.pause * 2, EJECT_MAX_MS)
 
     def _failed(self, now: float, node: Node, refused: bool) -> None:
         """No sign of life. Servers that are merely slow look like this too, then many at once do: time-outs
@@ -691,7 +695,8 @@
         if node is None or not usable or left <= 0 or pending.attempts >= self.settings.limits.max_attempts:
             self._finish(pending)
             return
-        doubtful = node.fails > 0 or pending.cls.name in node.mutes
+        mute = node.mutes.get(pending.cls.name)
+        doubtful = node.fails > 0 or (mute is not None and mute.fails >= SUSPECT_AFTER)
         suspect = doubtful and pending.attempts + 1 < self.settings.limits.max_attempts
         timeout = left * TRIAL_SHARE if suspect and pending.cls.effect is Effect.SAFE else None
         pending.out[pending.attempts] = node, now
