Blame no node for the proxy's own want of descriptors; ask a pushed list again

Discovery.ended (net/discovery.py), where lists are pushed, never asked again after one failed call, as the module asks only where it has to; the agent on this machine is now asked again after half a second.

Both tests fail without the change.

--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -26,6 +26,7 @@
 LIST_MAX = 4 << 20  # bytes of one answer: some ten thousand nodes; more is a fault, and memory is scarce
 OLDER_MS = 60_000.0
 CONNECT_MS = 1_000.0
+AGAIN_MS = 500.0  # after a failure of the agent on this machine, which costs nothing to ask
 IDLE_MS = 1_000.0  # the next call leaves at once, or it is a new beginning
 
 PHASES = {"up": State.READY, "draining": State.DRAINING, "removed": State.GONE}
@@ -107,6 +108,9 @@
         self.pool = Pool(self.host, address, CONNECT_MS, IdleLimit(IDLE_MS))
         self.watch(True)
 
+    def _again(self, _: object = None) -> None:
+        self.watch(True)
+
     def _call(self, _: object = None) -> None:
         if self.call is not None or not self.wanted:
             return
@@ -126,6 +130,8 @@
             log.warning("discovery: %s", problem)
             self.wanted = False
             self.host.tell(Membership(ListKind.FAILED))
+            if not self.host.settings.list_on_request:  # the module does not ask where lists are pushed
+                self.host.at(self.host.clock.now() + AGAIN_MS, self._again)
             return
         self.revision = listing.revision
         self.host.apply(listing, ListKind.FULL if listing.complete else ListKind.DELTA)
@@ -193,6 +199,9 @@
     def failed(self, sent: bool) -> None:
         self._end(None, "connection lost" if sent else "could not connect")
 
+    def starved(self, _: object = None) -> None:
+        self._end(None, "no descriptor left")
+
     def _end(self, listing: Listing | None, problem: str) -> None:
         if not self.over:
             self.drop()
--- a/notchflow/net/upstream.py
+++ b/notchflow/net/upstream.py
@@ -110,6 +110,8 @@
 
     def failed(self, sent: bool) -> None: ...
 
+    def starved(self, _: object = None) -> None: ...
+
 
 class Connection(asyncio.Protocol):
     """A connection to a node; it carries one exchange at a time."""
@@ -307,7 +309,7 @@
                 connection.start(exchange, now - connection.idle_since)
                 return
         if not self.host.descriptor():
-            self.host.soon(exchange.failed, False)
+            self.host.soon(exchange.starved, None)
             return
         connection = Connection(self)
         task = self.host.loop.create_task(self._dial(connection))
@@ -423,6 +425,10 @@
     def failed(self, sent: bool) -> None:
         self._end(Status.RESET if sent else Status.CONNECT_FAILED)
 
+    def starved(self, _: object = None) -> None:
+        """There was no descriptor to dial with: nothing went out, and the node is not to blame."""
+        self._end(Status.MOOT)
+
     def abandon(self, status: Status) -> None:
         """Stops waiting. Before its last byte was written a request cannot have run."""
         if status is Status.TIMEOUT and (self.connection is None or not self.connection.sent):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -136,6 +136,20 @@
             await asyncio.sleep(0.01)
 
 
+def test_where_lists_are_pushed_a_failed_watch_is_begun_again() -> None:
+    """Guards against a list that stays as it was for good once the agent has failed."""
+    async def test() -> None:
+        async with Rig() as rig:
+            told = rig.told(Membership)
+            _, writer = await rig.calls.get()
+            writer.transport.abort()
+            _, writer = await rig.calls.get()
+            writer.write(rig.listing(43, False, [rig.entry(0, phase="draining")]))
+            await until(lambda: len(told) == 2)
+            assert [m.kind for m in told] == [ListKind.FAILED, ListKind.DELTA]
+    run(test())
+
+
 def test_a_node_s_number_is_the_same_at_every_proxy() -> None:
     assert node_id("s-5be2a07c") == node_id("s-5be2a07c") != node_id("s-5be2a07d")
     assert node_id("s-5be2a07c") < 1 << 64
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -5,8 +5,9 @@
 import asyncio
 import random
 
+from notchflow.interface import Outcome, Status
 from notchflow.net.upstream import FADE_MS, IdleLimit
-from tests.rig import Rig, Seen, answer, run, until
+from tests.rig import Rig, Seen, answer, run, serve_value, until
 
 
 def test_a_break_in_midst_of_an_answer_says_nothing_of_idle_ages() -> None:
@@ -48,6 +49,23 @@
     run(test())
 
 
+def test_without_a_descriptor_to_dial_with_no_node_is_blamed() -> None:
+    """Guards against ejecting every node because the proxy's own sockets ran out."""
+    async def test() -> None:
+        async with Rig(serve_value, serve_value) as rig:
+            told = rig.told(Outcome)
+            client = await rig.connect()
+            assert (await client.ask(path="/health/ready")).status == 200
+            rig.host.descriptors = 0
+            for _ in range(3):
+                assert (await client.ask("PUT", body=b"paid", X_Call_Class="once")).status == 503
+            assert {o.status for o in told} == {Status.MOOT}
+            rig.host.descriptors = 100
+            assert (await client.ask()).status == 200
+            assert not any(n.fails or n.ejected_until for n in rig.host.balancer.fleet.ready)
+    run(test())
+
+
 def test_ages_that_break_more_than_younger_ones_are_given_up_and_tried_again() -> None:
     limit, stated = IdleLimit(10_000), IdleLimit(10_000).ms
     for number in range(40):
