Let nothing begin at a node that has begun to drain

Seen in reading, against the rule on drains: Host.apply (net/host.py) left the pool of a draining node as it was. A request whose connection was still being made began there whenever it came up, safe only while the connect time-out is under the grace; and idle connections to nodes that will get nothing new were held. Pool.retire is now for draining nodes too, and what waits for a connection ends as never sent once the module knows the list, so that it goes to another node. The test fails without the change.

--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -296,22 +296,22 @@
     def apply(self, listing: Listing, kind: ListKind) -> None:
         """Takes over a list: where the nodes are for the pools, the rest for the module."""
         addresses = listing.addresses or {}
+        retired: list[Pool] = []
         for member in listing.members:
-            pool = self.pools.get(member.node)
-            if member.state is State.GONE:
-                if pool is not None:
-                    pool.retire()
-                continue
-            address = addresses[member.node]
-            if pool is None or pool.retired or pool.address != address:
-                if pool is not None:
-                    pool.retire()
+            pool, address = self.pools.get(member.node), addresses[member.node]
+            stays = member.state is State.READY and pool is not None and pool.address == address
+            if pool is not None and not stays:
+                retired.append(pool)
+            if member.state is State.READY and (pool is None or not stays or pool.retired):
                 limit = self.settings.limits.connect_timeout_ms
                 self.pools[member.node] = Pool(self, address, limit, self.idle_limit)
         if kind is not ListKind.DELTA:
-            for node in self.pools.keys() - addresses.keys():
-                self.pools[node].retire()
+            retired.extend(self.pools[node] for node in self.pools.keys() - addresses.keys())
+        for pool in retired:
+            pool.retire()
         self.tell(Membership(kind, listing.members, listing.revision))
+        for pool in retired:  # now that the module knows better than to send there again
+            pool.undial()
 
     # -- the life of a request
     def request(self, call: Call, cls: str, budget_ms: float | None, **more: Any) -> None:
--- a/notchflow/net/upstream.py
+++ b/notchflow/net/upstream.py
@@ -375,7 +375,14 @@
             connection.close()
         del self.idle[:keep]
 
+    def undial(self) -> None:
+        """What waits for a connection goes elsewhere: it must not begin at a node that has begun to drain."""
+        for connection, (task, _) in list(self.dials.items()):
+            task.cancel()
+            self._undone(connection)
+
     def retire(self) -> None:
+        """Nothing new goes here; what is out may finish."""
         self.retired = True
         self.sweep(0.0)
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -16,8 +16,8 @@
 
 from notchflow.interface import ListKind, Membership
 from notchflow.net.config import load
-from notchflow.net.discovery import node_id
-from tests.rig import Peer, Rig, Seen, answer, run, until
+from notchflow.net.discovery import decode_listing, node_id
+from tests.rig import Peer, Rig, Seen, answer, run, serve_value, until
 
 
 def test_a_watch_goes_on_from_each_answer_and_deltas_are_applied() -> None:
@@ -58,6 +58,37 @@
     run(test())
 
 
+def test_what_waits_for_a_connection_to_a_node_that_drains_goes_elsewhere() -> None:
+    """Guards against a request that begins at a draining node once its connection is up at last."""
+    async def test() -> None:
+        async with Rig(serve_value, serve_value) as rig:
+            host = rig.host
+            node = node_id("s-0")
+            path = next(p for n in range(99) if host.balancer.fleet.order(p := f"{n:016x}")[0].id == node)
+            client = await rig.connect()
+            assert (await client.ask(path=f"/api/{path}")).status == 200
+            (idle,) = host.pools[node].idle
+            with socket.create_server(("127.0.0.1", 0), backlog=0) as full:  # it accepts nothing
+                address = full.getsockname()
+                waiting = [socket.socket() for _ in range(4)]
+                for sock in waiting:
+                    sock.setblocking(False)
+                    sock.connect_ex(address)
+                idle.close()
+                await until(lambda: not host.pools[node].idle)
+                host.pools[node].address, host.pools[node].connect_ms = address, 60_000.0
+                client.send("PUT", f"/api/{path}", b"paid", X_Call_Class="once")
+                await until(lambda: host.pools[node].dials)
+                host.apply(decode_listing({"revision": 42, "complete": False, "members": [
+                    rig.entry(0, phase="draining")]}), ListKind.DELTA)
+                seen = await client.receive()
+                assert seen is not None and seen.status == 200
+                assert [len(n.seen) for n in rig.nodes] == [1, 1]
+                for sock in waiting:
+                    sock.close()
+    run(test())
+
+
 def test_discovery_that_moves_is_followed_at_once_and_the_old_one_is_left() -> None:
     async def test() -> None:
         async with Rig() as rig:
