Break the import circle of the socket package

Need: config, discovery, downstream, host and upstream imported one another in a circle hidden behind TYPE_CHECKING, so that no hosted front could be built on the parts.

Behaviour unchanged, existing tests unchanged.

--- a/notchflow/net/config.py
+++ b/notchflow/net/config.py
@@ -9,7 +9,7 @@
 
 from notchflow import wire
 from notchflow.interface import Settings
-from notchflow.net.discovery import Address, Listing, decode_listing, parse_address
+from notchflow.net.listing import Address, Listing, decode_listing, parse_address
 
 CONN_IDLE_MS = 10_000.0
 MEMORY_MB, SOCKETS = 192.0, 1024
--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -2,24 +2,18 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 import logging
-from collections.abc import Mapping
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-from notchflow.interface import ListKind, Member, Membership, State
-from notchflow.net.upstream import Answer, IdleLimit, Pool
+from notchflow.interface import ListKind, Membership
+from notchflow.net.exchange import Answer, Teller
+from notchflow.net.listing import Address, Listing, decode_listing, node_id, parse_address
+from notchflow.net.upstream import Connection, IdleLimit, Pool
 
-if TYPE_CHECKING:
-    from notchflow.net.host import Host
-    from notchflow.net.upstream import Connection
+__all__ = ["Address", "Call", "Discovery", "Listing", "decode_listing", "node_id", "parse_address"]
 
 log = logging.getLogger(__name__)
 
-Address = tuple[str, int]
-
 WAIT_MS = 20_000
 ANSWER_MARGIN_MS = 1_000.0
 SPACING_MS = 100.0  # between two calls, for a discovery that answers at once; a watch goes on for 200
@@ -29,58 +23,10 @@
 AGAIN_MS = 500.0  # after a failure of the agent on this machine, which costs nothing to ask
 IDLE_MS = 1_000.0  # the next call leaves at once, or it is a new beginning
 
-PHASES = {"up": State.READY, "draining": State.DRAINING, "removed": State.GONE}
-
-
-@dataclass(frozen=True, slots=True)
-class Listing:
-    """One answer of discovery: the whole list or the entries that changed."""
-
-    revision: int
-    complete: bool
-    members: tuple[Member, ...] = ()
-    addresses: Mapping[int, Address] | None = None
-
-
-def node_id(name: str) -> int:
-    """A node's number, the same at every proxy and after each restart: the homes of keys hang on it."""
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
-
-
-def parse_address(text: object) -> Address:
-    if not isinstance(text, str):
-        raise ValueError(f"expected host:port, got {text!r}")
-    host, mark, port = text.rpartition(":")
-    if not mark or not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"expected host:port, got {text[:60]!r}")
-    return host.strip("[]"), int(port)
-
-
-def decode_listing(data: object) -> Listing:
-    """A list in discovery's form; a ValueError says what is wrong with it."""
-    if not isinstance(data, dict):
-        raise ValueError("expected an object with revision, complete and members")
-    revision, complete, entries = data.get("revision"), data.get("complete"), data.get("members")
-    if not isinstance(revision, int) or not isinstance(complete, bool) or not isinstance(entries, list):
-        raise ValueError("expected a whole number in revision, a bool in complete and a list in members")
-    members, addresses = [], {}
-    for entry in entries:
-        try:
-            node = node_id(entry["id"])
-            members.append(Member(
-                node=node, state=PHASES[entry["phase"]], kind=str(entry.get("flavor", "")),
-                zone=str(entry.get("locality", "")), cell=int(entry.get("cell", 0)),
-                size=float(entry.get("size", 1.0)), ready_at_ms=float(entry.get("up_since_ms", 0))))
-            addresses[node] = parse_address(entry["host_port"])
-        except (TypeError, KeyError, AttributeError, ValueError, OverflowError) as error:
-            raise ValueError(f"expected a member as discovery describes it ({error!r})") from None
-    return Listing(revision, complete, tuple(members), addresses)
-
-
 class Discovery:
     """One call at a time, answers applied in order. After a failure the module says when to ask again."""
 
-    def __init__(self, host: Host, address: Address, revision: int) -> None:
+    def __init__(self, host: Teller, address: Address, revision: int) -> None:
         self.host = host
         self.pool = Pool(host, address, CONNECT_MS, IdleLimit(IDLE_MS))
         self.revision: int | None = revision
--- a/notchflow/net/downstream.py
+++ b/notchflow/net/downstream.py
@@ -7,14 +7,11 @@
 import math
 import socket
 from collections import deque
-from typing import TYPE_CHECKING, Any, cast
+from typing import Any, cast
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
-from notchflow.net.upstream import HOP_BY_HOP, Answer
-
-if TYPE_CHECKING:
-    from notchflow.net.host import Host, Open
+from notchflow.net.exchange import HOP_BY_HOP, Answer, Call, Gatekeeper
 
 log = logging.getLogger(__name__)
 
@@ -39,33 +36,6 @@
            502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
 
 
-class Call:
-    """One request as a client sent it."""
-
-    __slots__ = ("client", "method", "url", "fields", "passed", "body", "size", "charged", "spilled",
-                 "keep", "chunks_allowed", "arrived_at", "open", "fault")
-
-    def __init__(self, client: Client) -> None:
-        self.client = client
-        self.method = self.url = b""
-        self.fields: dict[bytes, bytes] = {}
-        self.passed: list[bytes] = []
-        self.body: list[bytes] = []
-        self.size = 0
-        self.charged = 0  # bytes counted as held
-        self.spilled = False
-        self.keep = False
-        self.chunks_allowed = True
-        self.arrived_at = 0.0
-        self.open: Open | None = None
-        self.fault = 0  # the status that a request which never reaches the module is answered with
-
-    def release(self) -> None:
-        self.client.host.held -= self.charged
-        self.charged = 0
-        self.body = []
-
-
 class Client(asyncio.Protocol):
     """A client's connection."""
 
@@ -75,7 +45,7 @@
 
     def __init__(self, front: Front) -> None:
         self.front = front
-        self.host: Host = front.host
+        self.host = front.host
         self.transport: asyncio.Transport | None = None
         self.parser: HttpRequestParser | None = None
         self.arriving: Call | None = None
@@ -160,7 +130,7 @@
 
     # -- the parser's callbacks
     def on_message_begin(self) -> None:
-        self.arriving = Call(self)
+        self.arriving = Call(self, self.host)
         self.in_head, self.head_size = True, 0
         self.due_since = self.host.clock.turn()
 
@@ -233,7 +203,7 @@
         if self.closing:
             return
         self.closing = True
-        call = self.arriving or Call(self)
+        call = self.arriving or Call(self, self.host)
         self.arriving, self.in_head = None, False
         call.release()
         call.fault, call.keep = status, False
@@ -388,7 +358,7 @@
 class Front:
     """The listener and its clients."""
 
-    def __init__(self, host: Host, address: tuple[str, int]) -> None:
+    def __init__(self, host: Gatekeeper, address: tuple[str, int]) -> None:
         self.host = host
         self.address = address
         self.listener: socket.socket | None = None
--- /dev/null
+++ b/notchflow/net/exchange.py
@@ -0,0 +1,164 @@
+"""What the two sides of the proxy and the host share: a request in hand, an answer, and what each needs of
+the others. No module of this package imports one that imports it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from notchflow.interface import Event, ListKind, Settings, Status
+from notchflow.net.clock import Clock
+from notchflow.net.listing import Listing
+
+HOP_BY_HOP = frozenset({b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
+                        b"transfer-encoding", b"content-length", b"proxy-authenticate",
+                        b"proxy-authorization"})
+
+
+class Answer:
+    """A node's answer as it comes in."""
+
+    __slots__ = ("code", "fields", "passed", "body", "size", "length", "begun_at")
+
+    def __init__(self) -> None:
+        self.code = 0
+        self.fields: dict[bytes, bytes] = {}
+        self.passed: list[bytes] = []
+        self.body: list[bytes] = []
+        self.size = 0
+        self.length: int | None = None
+        self.begun_at = 0.0
+
+
+class Asker(Protocol):
+    """The client's side of a request in hand: it takes the one final answer."""
+
+    paused: bool
+
+    def serve(self, call: Call, answer: Answer) -> None: ...
+
+    def refuse(self, call: Call, retry_after_ms: float) -> None: ...
+
+    def fail(self, call: Call, status: int) -> None: ...
+
+    def begin_stream(self, call: Call, answer: Answer) -> None: ...
+
+    def stream(self, data: bytes) -> None: ...
+
+    def end_stream(self, call: Call, whole: bool) -> None: ...
+
+
+class Link(Protocol):
+    """The connection that a streamed answer comes on."""
+
+    heard_at: float
+
+    @property
+    def transport(self) -> asyncio.Transport | None: ...
+
+
+class Try(Protocol):
+    """An attempt at a node, as the host sees it."""
+
+    started: bool
+
+    @property
+    def connection(self) -> Link | None: ...
+
+    def abandon(self, status: Status) -> None: ...
+
+
+class Ledger(Protocol):
+    """Where bytes held in memory are counted."""
+
+    held: int
+
+
+class Call:
+    """One request as a client sent it."""
+
+    __slots__ = ("client", "ledger", "method", "url", "fields", "passed", "body", "size", "charged",
+                 "spilled", "keep", "chunks_allowed", "arrived_at", "open", "fault")
+
+    def __init__(self, client: Asker, ledger: Ledger) -> None:
+        self.client, self.ledger = client, ledger
+        self.method = self.url = b""
+        self.fields: dict[bytes, bytes] = {}
+        self.passed: list[bytes] = []
+        self.body: list[bytes] = []
+        self.size = 0
+        self.charged = 0  # bytes counted as held
+        self.spilled = False
+        self.keep = False
+        self.chunks_allowed = True
+        self.arrived_at = 0.0
+        self.open: Open | None = None
+        self.fault = 0  # the status that a request which never reaches the module is answered with
+
+    def release(self) -> None:
+        self.ledger.held -= self.charged
+        self.charged = 0
+        self.body = []
+
+
+class Open:
+    """A request in hand and its attempts."""
+
+    __slots__ = ("id", "call", "deadline", "attempts", "out", "done", "streaming", "last")
+
+    def __init__(self, number: int, call: Call, deadline: float) -> None:
+        self.id = number
+        self.call = call
+        self.deadline = deadline
+        self.attempts = 0
+        self.out: dict[int, Try] = {}
+        self.done = False
+        self.streaming: Try | None = None
+        self.last: Status | None = None
+
+
+class Dialler(Protocol):
+    """What connections to nodes and to discovery need of the host."""
+
+    loop: asyncio.AbstractEventLoop
+    clock: Clock
+
+    def at(self, due: float, call: Callable[..., None], argument: Any = None) -> None: ...
+
+    def soon(self, call: Callable[..., None], argument: Any) -> None: ...
+
+    def descriptor(self) -> bool: ...
+
+    def freed(self) -> None: ...
+
+
+class Teller(Dialler, Protocol):
+    """What discovery needs of the host."""
+
+    settings: Settings
+
+    def tell(self, event: Event) -> None: ...
+
+    def apply(self, listing: Listing, kind: ListKind) -> None: ...
+
+
+class Gatekeeper(Protocol):
+    """What clients' connections need of the host."""
+
+    loop: asyncio.AbstractEventLoop
+    clock: Clock
+    held: int
+    held_max: float
+    used: int
+    descriptors: int
+
+    def at(self, due: float, call: Callable[..., None], argument: Any = None) -> None: ...
+
+    def freed(self) -> None: ...
+
+    def request(self, call: Call, cls: str, budget_ms: float | None, **more: Any) -> None: ...
+
+    def client_gone(self, item: Open) -> None: ...
+
+    def pause(self, item: Open, paused: bool) -> None: ...
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import logging
-import time
 from collections import deque
 from collections.abc import Callable
 from heapq import heappop, heappush
@@ -35,10 +34,13 @@
     Watch,
 )
 from notchflow.logic import Balancer
+from notchflow.net.clock import Clock
 from notchflow.net.config import Config
-from notchflow.net.discovery import Discovery, Listing
-from notchflow.net.downstream import Call, Front
-from notchflow.net.upstream import Answer, Attempt, IdleLimit, Pool, load_report
+from notchflow.net.discovery import Discovery
+from notchflow.net.downstream import Front
+from notchflow.net.exchange import Answer, Call, Open
+from notchflow.net.listing import Listing
+from notchflow.net.upstream import Attempt, IdleLimit, Pool, load_report
 
 log = logging.getLogger(__name__)
 
@@ -54,39 +56,6 @@
 DRAIN_STEP_MS = 20.0
 
 
-class Clock:
-    """Unix time in milliseconds at the start, then monotonic: steps of the wall clock do no harm."""
-
-    __slots__ = ("base", "loop")
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self.loop = loop
-        self.base = (time.time() - time.monotonic()) * 1e3
-
-    def now(self) -> float:
-        """The present moment."""
-        return self.base + time.monotonic() * 1e3
-
-    def turn(self) -> float:
-        return self.base + self.loop.time() * 1e3
-
-
-class Open:
-    """A request in hand and its attempts."""
-
-    __slots__ = ("id", "call", "deadline", "attempts", "out", "done", "streaming", "last")
-
-    def __init__(self, number: int, call: Call, deadline: float) -> None:
-        self.id = number
-        self.call = call
-        self.deadline = deadline
-        self.attempts = 0
-        self.out: dict[int, Attempt] = {}
-        self.done = False
-        self.streaming: Attempt | None = None
-        self.last: Status | None = None
-
-
 class Host:
     """One proxy."""
 
--- /dev/null
+++ b/notchflow/net/listing.py
@@ -0,0 +1,58 @@
+"""Addresses, and the list of cache nodes in discovery's form."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from notchflow.interface import Member, State
+
+Address = tuple[str, int]
+
+PHASES = {"up": State.READY, "draining": State.DRAINING, "removed": State.GONE}
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """One answer of discovery: the whole list or the entries that changed."""
+
+    revision: int
+    complete: bool
+    members: tuple[Member, ...] = ()
+    addresses: Mapping[int, Address] | None = None
+
+
+def node_id(name: str) -> int:
+    """A node's number, the same at every proxy and after each restart: the homes of keys hang on it."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
+
+
+def parse_address(text: object) -> Address:
+    if not isinstance(text, str):
+        raise ValueError(f"expected host:port, got {text!r}")
+    host, mark, port = text.rpartition(":")
+    if not mark or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"expected host:port, got {text[:60]!r}")
+    return host.strip("[]"), int(port)
+
+
+def decode_listing(data: object) -> Listing:
+    """A list in discovery's form; a ValueError says what is wrong with it."""
+    if not isinstance(data, dict):
+        raise ValueError("expected an object with revision, complete and members")
+    revision, complete, entries = data.get("revision"), data.get("complete"), data.get("members")
+    if not isinstance(revision, int) or not isinstance(complete, bool) or not isinstance(entries, list):
+        raise ValueError("expected a whole number in revision, a bool in complete and a list in members")
+    members, addresses = [], {}
+    for entry in entries:
+        try:
+            node = node_id(entry["id"])
+            members.append(Member(
+                node=node, state=PHASES[entry["phase"]], kind=str(entry.get("flavor", "")),
+                zone=str(entry.get("locality", "")), cell=int(entry.get("cell", 0)),
+                size=float(entry.get("size", 1.0)), ready_at_ms=float(entry.get("up_since_ms", 0))))
+            addresses[node] = parse_address(entry["host_port"])
+        except (TypeError, KeyError, AttributeError, ValueError, OverflowError) as error:
+            raise ValueError(f"expected a member as discovery describes it ({error!r})") from None
+    return Listing(revision, complete, tuple(members), addresses)
--- a/notchflow/net/upstream.py
+++ b/notchflow/net/upstream.py
@@ -7,15 +7,13 @@
 import logging
 from bisect import bisect_right
 from collections.abc import Sequence
-from typing import TYPE_CHECKING, Protocol, cast
+from typing import Protocol, cast
 
 from httptools import HttpParserError, HttpResponseParser
 
 from notchflow import wire
 from notchflow.interface import Status
-
-if TYPE_CHECKING:
-    from notchflow.net.host import Host, Open
+from notchflow.net.exchange import HOP_BY_HOP, Answer, Dialler, Open
 
 log = logging.getLogger(__name__)
 
@@ -28,27 +26,9 @@
 DIAL_COST = 0.15
 GAIN_MIN = 2.0
 FADE_MS = 30_000.0
-HOP_BY_HOP = frozenset({b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
-                        b"transfer-encoding", b"content-length", b"proxy-authenticate",
-                        b"proxy-authorization"})
 OWN = frozenset({b"x-rejected", b"x-hit", b"x-load-report"})
 
 
-class Answer:
-    """A node's answer as it comes in."""
-
-    __slots__ = ("code", "fields", "passed", "body", "size", "length", "begun_at")
-
-    def __init__(self) -> None:
-        self.code = 0
-        self.fields: dict[bytes, bytes] = {}
-        self.passed: list[bytes] = []
-        self.body: list[bytes] = []
-        self.size = 0
-        self.length: int | None = None
-        self.begun_at = 0.0
-
-
 class IdleLimit:
     """How long a connection may have been idle and still be used.
 
@@ -289,7 +269,7 @@
 
     __slots__ = ("host", "address", "connect_ms", "limit", "idle", "dials", "retired")
 
-    def __init__(self, host: Host, address: tuple[str, int], connect_ms: float, limit: IdleLimit) -> None:
+    def __init__(self, host: Dialler, address: tuple[str, int], connect_ms: float, limit: IdleLimit) -> None:
         self.host = host
         self.address = address
         self.connect_ms = connect_ms
@@ -387,13 +367,21 @@
         self.sweep(0.0)
 
 
+class Courier(Dialler, Protocol):
+    """What attempts need of the host."""
+
+    def outcome(self, attempt: Attempt, status: Status, answer: Answer | None) -> None: ...
+
+    def stream_started(self, attempt: Attempt, answer: Answer) -> bool: ...
+
+
 class Attempt:
     """One attempt at a node. It ends once, with the outcome that the facts prove."""
 
     __slots__ = ("host", "open", "number", "node", "pool", "begun_at", "expires_at", "connection", "over",
                  "started", "hold_max")
 
-    def __init__(self, host: Host, item: Open, number: int, node: int, pool: Pool, now: float,
+    def __init__(self, host: Courier, item: Open, number: int, node: int, pool: Pool, now: float,
                  expires: float) -> None:
         self.host, self.open = host, item
         self.number, self.node, self.pool = number, node, pool
