Keep end-to-end fields and one reading of every request at the platform's door

Seen over sockets: a request whose Connection field named X-Call-Id reached the box without its id, and so would Idempotency-Key (a keyed effect may then run twice); two Connection fields counted as the last one; dot segments, escaped or not, went on as they came; a chunk extension of 40 kB, a body of a million pieces, a head of 40 kB in one read and gzip under chunked were taken.

Fields meant for the end are never removed; a second X-Call-Id, Idempotency-Key or Host is 400, as are dot segments and octets beyond ASCII in a target; framing is bounded at 4 KiB and 32 bytes a chunk, fields at 256, and small pieces of a body are put together. A request without Host is still served here, as the platform allows it. The client's side can have a Door before the module, several listeners and a fixed fleet; the platform uses none of that. The test rig sent some fields twice (by case); it replaces them now.

--- a/notchflow/net/config.py
+++ b/notchflow/net/config.py
@@ -25,7 +25,7 @@
 
     name: str
     listen: Address
-    discovery: Address
+    discovery: Address | None  # none: the fleet is the fixed list that is known
     seed: int
     settings: Settings
     known: Listing
@@ -33,6 +33,7 @@
     conn_idle_ms: float = CONN_IDLE_MS
     memory_mb: float = MEMORY_MB
     sockets: int = SOCKETS
+    also_listen: tuple[Address, ...] = ()
 
 
 def load(env: Mapping[str, str]) -> Config:
--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -26,9 +26,10 @@
 class Discovery:
     """One call at a time, answers applied in order. After a failure the module says when to ask again."""
 
-    def __init__(self, host: Teller, address: Address, revision: int) -> None:
+    def __init__(self, host: Teller, address: Address | None, revision: int) -> None:
         self.host = host
-        self.pool = Pool(host, address, CONNECT_MS, IdleLimit(IDLE_MS))
+        self.fixed = address is None  # nobody to ask: the list that is known is all there ever is
+        self.pool = Pool(host, address or ("", 0), CONNECT_MS, IdleLimit(IDLE_MS))
         self.revision: int | None = revision
         self.older_since: float | None = None
         self.call: Call | None = None
@@ -37,8 +38,8 @@
 
     def watch(self, on: bool) -> None:
         """Begins the watch, or ends it after the answer that is out."""
-        self.wanted = on
-        if on and self.call is None:
+        self.wanted = on and not self.fixed
+        if self.wanted and self.call is None:
             self._call()
 
     def move(self, address: Address) -> None:
@@ -47,6 +48,7 @@
         if address == self.pool.address:
             return
         log.info("discovery moves to %s:%d", *address)
+        self.fixed = False
         call, self.call = self.call, None
         if call is not None:
             call.drop()
--- a/notchflow/net/downstream.py
+++ b/notchflow/net/downstream.py
@@ -11,7 +11,7 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
-from notchflow.net.exchange import HOP_BY_HOP, Answer, Call, Gatekeeper
+from notchflow.net.exchange import HOP_BY_HOP, Answer, Call, Door, Gatekeeper, Reply
 
 log = logging.getLogger(__name__)
 
@@ -26,13 +26,25 @@
 ARRIVE_MS = 2_000.0  # by when a request must have come whole: who says nothing, or half, keeps no descriptor
 LINGER_MS = 2_000.0
 SERVED_SHARE = 0.75
+SLICE = 8 << 10  # a longer read is parsed in such pieces, so that the bounds on framing hold within it
+FIELDS_MAX = 256
+FRAMING_MAX, FRAMING_CHUNK = 4 << 10, 32  # bytes of a chunked body that are no body: in all, and a chunk
+JOIN_BELOW = 1 << 10  # bytes: smaller pieces of a body are put together, as each costs memory of its own
 READ = frozenset({b"x-call-id", b"x-call-class", b"x-caller", b"x-budget", b"x-again", b"x-call-cost",
-                  b"x-call-info", b"expect"})
+                  b"x-call-info", b"expect", b"idempotency-key", b"host"})
 REPLACED = frozenset({b"x-budget", b"expect"})
+# Two of these can be read either way: as one request here, as another at the box.
+SINGLE = frozenset({b"x-call-id", b"idempotency-key", b"host"})
+# A sender may name in Connection what is meant for this hop alone. These are meant for the end: without its
+# X-Call-Id or Idempotency-Key a box could not tell a repeat, and an effect would happen twice.
+END_TO_END = READ | {b"authorization", b"content-type", b"content-encoding", b"cache-control"}
 PREFIX = b"/api/"
 READY = b"/health/ready"
+DOTS = frozenset({b".", b".."})
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-           408: b"Request Timeout", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+           401: b"Unauthorized", 403: b"Forbidden", 406: b"Not Acceptable",
+           408: b"Request Timeout", 413: b"Content Too Large", 414: b"URI Too Long",
+           429: b"Too Many Requests", 431: b"Request Header Fields Too Large", 501: b"Not Implemented",
            502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
 
 
@@ -41,7 +53,7 @@
 
     __slots__ = ("front", "host", "transport", "parser", "arriving", "in_head", "head_size", "waiting",
                  "current", "stepping", "paused", "half_closed", "closing", "chunked", "charged", "active_at",
-                 "due_since")
+                 "due_since", "framing", "chunks")
 
     def __init__(self, front: Front) -> None:
         self.front = front
@@ -50,7 +62,7 @@
         self.parser: HttpRequestParser | None = None
         self.arriving: Call | None = None
         self.in_head = False
-        self.head_size = 0
+        self.head_size = self.framing = self.chunks = 0
         self.waiting: deque[Call] = deque()
         self.current: Call | None = None
         self.stepping = False
@@ -75,6 +87,19 @@
         if self.closing or self.parser is None:
             return  # what follows a fault is read and dropped, so that its answer is not lost to a reset
         self.front.idle.pop(self, None)
+        if len(data) <= SLICE:
+            self._feed(data)
+        else:
+            for at in range(0, len(data), SLICE):
+                if not self.closing:
+                    self._feed(data[at : at + SLICE])
+        self._step()
+
+    def _feed(self, data: bytes) -> None:
+        if self.parser is None:
+            return
+        call = self.arriving
+        before = call.size if call is not None else 0
         try:
             self.parser.feed_data(data)
         except HttpParserUpgrade:
@@ -84,9 +109,13 @@
             self._fault(400)
         if self.in_head:
             self.head_size += len(data)
-            if self.head_size > HEAD_MAX:
+            if self.head_size >= HEAD_MAX:
                 self._fault(431)
-        self._step()
+        elif call is not None and call is self.arriving:  # in the midst of a body
+            self.framing += len(data) - (call.size - before)
+            if self.framing > FRAMING_MAX + FRAMING_CHUNK * self.chunks:
+                log.info("more framing than body")
+                self._fault(400)
 
     def eof_received(self) -> bool:
         self.half_closed = True
@@ -104,7 +133,7 @@
         self.current = self.arriving = None
         self.waiting.clear()
         for call in calls:
-            call.release()
+            call.settle(0)
             if call.open is not None:
                 self.host.client_gone(call.open)
         self.front.lost(self)
@@ -131,7 +160,7 @@
     # -- the parser's callbacks
     def on_message_begin(self) -> None:
         self.arriving = Call(self, self.host)
-        self.in_head, self.head_size = True, 0
+        self.in_head, self.head_size, self.framing, self.chunks = True, 0, 0, 0
         self.due_since = self.host.clock.turn()
 
     def on_url(self, url: bytes) -> None:
@@ -143,11 +172,13 @@
         if call is None or not self.in_head:
             return  # trailers
         if low in READ:
+            if low in SINGLE and low in call.fields:
+                call.fault = 400
             call.fields[low] = value
             if low not in REPLACED:
                 call.passed.append(b"%b: %b\r\n" % (name, value))
         elif low in HOP_BY_HOP:
-            call.fields[low] = value
+            call.fields[low] = b"%b, %b" % (call.fields[low], value) if low in call.fields else value
         else:
             call.passed.append(b"%b: %b\r\n" % (name, value))
 
@@ -161,11 +192,23 @@
         call.keep = call.chunks_allowed and parser.should_keep_alive()
         named = call.fields.get(b"connection")
         if named is not None and b"," in named or named and named.lower() not in (b"keep-alive", b"close"):
-            drop = tuple(t.strip().lower() + b":" for t in named.split(b","))
+            tokens = {t.strip().lower() for t in named.split(b",")} - END_TO_END
+            drop = tuple(t + b":" for t in tokens if t)
             call.passed = [line for line in call.passed if not line.lower().startswith(drop)]
+        coding = call.fields.get(b"transfer-encoding")
+        if coding is not None and coding.strip().lower() != b"chunked":
+            self._fault(501)  # the body would go on in a coding that nobody told the box of
+            return
+        if len(call.passed) > FIELDS_MAX:
+            self._fault(431)
+            return
+        if self.front.door is not None and not call.fault:
+            self.front.door.head(call)
         length = int(call.fields.get(b"content-length", 0))
         if length > BODY_MAX:
             self._fault(413)
+        elif call.reply is not None and b"expect" in call.fields:
+            self._fault(call.reply.status)  # the client waits with the body: it may as well keep it
         elif b"expect" in call.fields and call.fields[b"expect"].lower() == b"100-continue":
             if self.current is None and not self.waiting and self.transport is not None:
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -177,14 +220,21 @@
         call.size += len(data)
         if call.size > BODY_MAX:
             self._fault(413)
-        elif not call.spilled:
-            if self.host.held + len(data) > self.host.held_max:
+        elif call.reply is None and not call.spilled:
+            full = self.host.held + len(data) > self.host.held_max
+            if full or (call.ticket is not None and not call.ticket.charge(len(data))):
                 call.spilled = True
                 call.release()
             else:
                 self.host.held += len(data)
                 call.charged += len(data)
-                call.body.append(data)
+                if call.body and len(data) < JOIN_BELOW and len(call.body[-1]) < JOIN_BELOW:
+                    call.body[-1] += data
+                else:
+                    call.body.append(data)
+
+    def on_chunk_header(self) -> None:
+        self.chunks += 1
 
     def on_message_complete(self) -> None:
         call, self.arriving = self.arriving, None
@@ -226,6 +276,9 @@
         self.stepping = False
 
     def _begin(self, call: Call) -> None:
+        if call.reply is not None:
+            self._reply(call, call.reply)
+            return
         if call.fault:
             self.fail(call, call.fault)
             return
@@ -233,6 +286,14 @@
         if path == READY:
             self._write(call, 503 if self.front.draining else 200, [], [], 0)
             return
+        if self.front.door is not None:
+            reply = self.front.door.begin(call)
+            if reply is not None:
+                self._reply(call, reply)
+            return
+        if not readable(call.url):
+            self.fail(call, 400)
+            return
         key = path.rpartition(b"/")[2]
         if not path.startswith(PREFIX) or not key:
             self.fail(call, 404)
@@ -266,12 +327,21 @@
         self._write(call, 200, answer.passed, answer.body, answer.size)
 
     def refuse(self, call: Call, retry_after_ms: float) -> None:
+        if self.front.door is not None:
+            self._reply(call, self.front.door.refused(retry_after_ms))
+            return
         extra = [b"Retry-After: %.3f\r\n" % (retry_after_ms / 1e3)] if retry_after_ms > 0 else []
         self._write(call, 503, extra, [], 0)
 
     def fail(self, call: Call, status: int) -> None:
         """Failed, with no promise."""
-        self._write(call, status, [], [], 0)
+        if self.front.door is not None:
+            self._reply(call, self.front.door.failed(status))
+        else:
+            self._write(call, status, [], [], 0)
+
+    def _reply(self, call: Call, reply: Reply) -> None:
+        self._write(call, reply.status, list(reply.headers), [reply.body], len(reply.body))
 
     def _write(self, call: Call, status: int, headers: list[bytes], body: list[bytes], size: int) -> None:
         if self.transport is None or self.current is not call:
@@ -279,14 +349,14 @@
         end = b"" if self._keeps(call) else b"Connection: close\r\n"
         self.transport.writelines([b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n" % (
             status, REASONS[status], b"".join(headers), size, end), *body])
-        self._answered(call, not end)
+        self._answered(call, not end, status)
 
     def _keeps(self, call: Call) -> bool:
         last = self.closing and not self.waiting
         return call.keep and not last and not self.front.draining
 
-    def _answered(self, call: Call, keep: bool) -> None:
-        call.release()
+    def _answered(self, call: Call, keep: bool, status: int = 200) -> None:
+        call.settle(status)
         self.current = None
         self.active_at = self.host.clock.turn()
         if self.transport is None:
@@ -358,8 +428,9 @@
 class Front:
     """The listener and its clients."""
 
-    def __init__(self, host: Gatekeeper, address: tuple[str, int]) -> None:
+    def __init__(self, host: Gatekeeper, address: tuple[str, int], door: Door | None = None) -> None:
         self.host = host
+        self.door = door
         self.address = address
         self.listener: socket.socket | None = None
         self.clients: dict[Client, None] = {}
@@ -465,6 +536,17 @@
             client.close_if_over(now)
 
 
+def readable(url: bytes) -> bool:
+    """Whether every reader takes a target for the same: a box may resolve dot segments, escaped or not, and
+    a path that leaves its prefix is none of ours; only printable ASCII is in a target (RFC 3986)."""
+    if not url.isascii() or b"#" in url or b"\\" in url:
+        return False
+    path = url.partition(b"?")[0]
+    if b"%2" in path:
+        path = path.replace(b"%2e", b".").replace(b"%2E", b".").replace(b"%2f", b"/").replace(b"%2F", b"/")
+    return b"/." not in path or not DOTS.intersection(path.split(b"/"))
+
+
 def _number(fields: dict[bytes, bytes], name: bytes, factor: float) -> float | None:
     """A finite number of a header, if it is there."""
     raw = fields.get(name)
--- a/notchflow/net/exchange.py
+++ b/notchflow/net/exchange.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 from notchflow.interface import Event, ListKind, Settings, Status
@@ -69,6 +70,25 @@
     def abandon(self, status: Status) -> None: ...
 
 
+class Ticket(Protocol):
+    """What a request in hand costs the tenant that it belongs to."""
+
+    def charge(self, size: int) -> bool:
+        """Counts bytes held; false where they are over the tenant's limit."""
+
+    def done(self, status: int) -> None:
+        """The request is over: answered with this status, or 0 where its client left. Called once."""
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer of the proxy's own."""
+
+    status: int
+    headers: tuple[bytes, ...] = ()  # whole lines
+    body: bytes = b""
+
+
 class Ledger(Protocol):
     """Where bytes held in memory are counted."""
 
@@ -79,7 +99,7 @@
     """One request as a client sent it."""
 
     __slots__ = ("client", "ledger", "method", "url", "fields", "passed", "body", "size", "charged",
-                 "spilled", "keep", "chunks_allowed", "arrived_at", "open", "fault")
+                 "spilled", "keep", "chunks_allowed", "arrived_at", "open", "fault", "ticket", "reply")
 
     def __init__(self, client: Asker, ledger: Ledger) -> None:
         self.client, self.ledger = client, ledger
@@ -95,12 +115,21 @@
         self.arrived_at = 0.0
         self.open: Open | None = None
         self.fault = 0  # the status that a request which never reaches the module is answered with
+        self.ticket: Ticket | None = None
+        self.reply: Reply | None = None  # settled at the end of the head: the body is read and dropped
 
     def release(self) -> None:
         self.ledger.held -= self.charged
         self.charged = 0
         self.body = []
 
+    def settle(self, status: int) -> None:
+        """The request is over for its client."""
+        self.release()
+        ticket, self.ticket = self.ticket, None
+        if ticket is not None:
+            ticket.done(status)
+
 
 class Open:
     """A request in hand and its attempts."""
@@ -162,3 +191,20 @@
     def client_gone(self, item: Open) -> None: ...
 
     def pause(self, item: Open, paused: bool) -> None: ...
+
+
+class Door(Protocol):
+    """What stands before the module where requests are not the platform's own: who asks, for what class, and
+    in which words it is turned away."""
+
+    def head(self, call: Call) -> None:
+        """The head has come: may set `ticket`, or `reply` where the request is turned away already."""
+
+    def begin(self, call: Call) -> Reply | None:
+        """The request is whole: hands it to the host, or says why not."""
+
+    def refused(self, retry_after_ms: float) -> Reply:
+        """The words for a refusal of the module's."""
+
+    def failed(self, status: int) -> Reply:
+        """The words for a failure."""
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -38,7 +38,7 @@
 from notchflow.net.config import Config
 from notchflow.net.discovery import Discovery
 from notchflow.net.downstream import Front
-from notchflow.net.exchange import Answer, Call, Open
+from notchflow.net.exchange import Answer, Call, Door, Open
 from notchflow.net.listing import Listing
 from notchflow.net.upstream import Attempt, IdleLimit, Pool, load_report
 
@@ -59,7 +59,7 @@
 class Host:
     """One proxy."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, door: Door | None = None) -> None:
         self.config, self.loop = config, loop
         self.clock = Clock(loop)
         self.settings = config.settings
@@ -82,7 +82,8 @@
         self.held = 0
         self.answer_by = float("inf")  # no request is held longer than this, once the process is to end
         self.stop_by = float("inf")
-        self.front = Front(self, config.listen)
+        self.front = Front(self, config.listen, door)
+        self.fronts = [self.front, *(Front(self, address, door) for address in config.also_listen)]
         self.discovery = Discovery(self, config.discovery, config.known.revision)
 
     # -- life
@@ -92,27 +93,30 @@
         if not self.settings.list_on_request:
             self.discovery.watch(True)
         self.at(self.clock.now() + SWEEP_MS, self._sweep)
-        self.front.listen()
+        for front in self.fronts:
+            front.listen()
 
     def reload(self, config: Config) -> None:
         """A new configuration: discovery may have moved. What the module was told at its start stays."""
         if config.settings != self.settings or config.listen != self.config.listen:
             log.warning("new settings and a new address to listen on wait for the next start")
-        self.discovery.move(config.discovery)
+        if config.discovery is not None:
+            self.discovery.move(config.discovery)
 
     def stop(self) -> None:
         if self.front.draining:
             return
         log.info("draining")
         now = self.clock.now()
-        self.front.draining = True
+        for front in self.fronts:
+            front.draining = True
         self.answer_by = now + self.longest_ms + ANSWER_BY_MS
         self.stop_by = now + self.longest_ms + STOP_BY_MS
         self.at(now + ACCEPT_ON_MS, self._drain)
 
     def _drain(self, _: object = None) -> None:
         now = self.clock.now()
-        if self.front.close() or now >= self.stop_by:
+        if all([front.close() for front in self.fronts]) or now >= self.stop_by:
             self.loop.stop()
         else:
             self.at(now + DRAIN_STEP_MS, self._drain)
@@ -131,7 +135,8 @@
                 continue
             if attempt.connection.heard_at + STALL_MS < now:
                 attempt.abandon(Status.RESET)
-        self.front.sweep(now)
+        for front in self.fronts:
+            front.sweep(now)
 
     # -- time
     def at(self, due: float, call: Callable[..., None], argument: Any = None) -> None:
@@ -176,7 +181,8 @@
 
     def freed(self) -> None:
         self.used -= 1
-        self.front.resume()
+        for front in self.fronts:
+            front.resume()
 
     def _spare(self) -> bool:
         idle = [p for p in self.pools.values() if p.idle]
@@ -184,7 +190,7 @@
             pool = min(idle, key=lambda p: p.idle[0].idle_since)
             pool.idle.pop(0).close()
             return True
-        return self.front.close_idle()
+        return any(front.close_idle() for front in self.fronts)
 
     # -- the module
     def tell(self, event: Event) -> None:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -134,7 +134,8 @@
     def send(self, method: str = "GET", path: str = "/api/00000000000000aa", body: bytes | None = None,
              **headers: str) -> None:
         """Writes a request; a header is left out by giving it as the empty string."""
-        fields = {"x_call_id": "9b1f03aa5c7e2d41", "x_call_class": "read", "x_budget": "5.0"} | headers
+        fields = {"x_call_id": "9b1f03aa5c7e2d41", "x_call_class": "read", "x_budget": "5.0"}
+        fields |= {name.lower(): value for name, value in headers.items()}  # instead of these, not twice
         if body is not None:
             fields["content_length"] = str(len(body))
         lines = "".join(f"{n.replace('_', '-')}: {v}\r\n" for n, v in fields.items() if v)
