Add tenants, operator file, state and administration API: notchflow serve, check, admin, demo

Need: rival operators share one platform; each needs its own space, keys and limits, and the program has to run as a hosted service.

tenancy/ decides without I/O or a clock (keys, paths in one spelling, routes, limits, the drain of a retiring tenant), hosting/ reads the operator file and runs the process, state/ keeps tenants, keys, tokens and the audit log in SQLite (WAL, full sync), admin/ is the API on a thread of its own. A request's box path, id, caller and idempotency key are built from what was decided, below the tenant's own space. The platform's proxy imports none of it.

--- a/notchflow/__main__.py
+++ b/notchflow/__main__.py
@@ -7,35 +7,13 @@
 import os
 import signal
 import sys
-import time
 
 import uvloop
 
+from notchflow import logs
 from notchflow.net.config import ConfigError, load, reload
 from notchflow.net.host import Host
 
-LOG_EVERY_S = 10.0  # a message comes at most this often: what goes wrong goes wrong a thousand times a second
-
-
-class Sparse(logging.Filter):
-    """Lets each message through now and then, with the number of those held back."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.seen: dict[str, tuple[float, int]] = {}  # as many entries as the code has messages
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        at, held = self.seen.get(record.msg, (-LOG_EVERY_S, 0))
-        now = time.monotonic()
-        if now < at + LOG_EVERY_S:
-            self.seen[record.msg] = at, held + 1
-            return False
-        self.seen[record.msg] = now, 0
-        if held:
-            record.msg = f"{record.msg} ({held} more before)"
-        return True
-
-
 log = logging.getLogger(__name__)
 
 
@@ -56,10 +34,7 @@
     except ConfigError as error:
         print(f"notchflow: {error}", file=sys.stderr)
         return 2
-    handler = logging.StreamHandler()
-    handler.addFilter(Sparse())
-    logging.basicConfig(level=logging.INFO, handlers=[handler],
-                        format="%(asctime)s %(levelname)s %(message)s")
+    logs.begin()
     loop = uvloop.new_event_loop()
     asyncio.set_event_loop(loop)
     host = Host(config, loop)
@@ -75,5 +50,13 @@
     return 0
 
 
+def start() -> int:
+    """The platform's proxy where nothing else is asked for; its code alone is loaded then."""
+    if len(sys.argv) > 1:
+        from notchflow.cli import main as command
+        return command(sys.argv[1:])
+    return main()
+
+
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(start())
--- /dev/null
+++ b/notchflow/admin/models.py
@@ -0,0 +1,180 @@
+"""What the administration API takes and gives (its OpenAPI document is made from these)."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+from typing import Annotated, Any, Generic, Literal, TypeVar
+
+from pydantic import AwareDatetime, BaseModel, ConfigDict, Field
+
+from notchflow.hosting.schema import LimitsModel, RouteModel, Strict, TenantId
+from notchflow.state.database import AuditEvent, Token
+from notchflow.tenancy.model import ApiKey, Limits, Tenant
+
+T = TypeVar("T")
+State = Literal["active", "suspended", "retiring", "gone"]
+Name = Annotated[str, Field(max_length=200, pattern=r"^[^\x00-\x1f\x7f]*$")]
+Expiry = Annotated[AwareDatetime, Field(strict=False)]
+
+
+def moment(at: float) -> datetime:
+    return datetime.fromtimestamp(at, UTC)
+
+
+def moment_or_none(at: float | None) -> datetime | None:
+    return moment(at) if at is not None else None
+
+
+class Problem(BaseModel):
+    """Problem details (RFC 9457)."""
+
+    model_config = ConfigDict(extra="allow")
+
+    type: str
+    title: str
+    status: int
+    detail: str | None = None
+
+
+class Page(BaseModel, Generic[T]):
+    """A part of a list; `next` is the cursor of what follows, null at the end."""
+
+    items: list[T]
+    next: str | None
+
+
+class TenantCreate(Strict):
+    id: TenantId
+    name: Name = ""
+    limits: LimitsModel | None = None
+    routes: list[RouteModel] | None = Field(None, max_length=64)
+
+
+class TenantPatch(Strict):
+    """What is left out stays; limits or routes set to null are the operator's defaults again."""
+
+    name: Name = ""
+    state: Literal["active", "suspended"] = "active"
+    limits: LimitsModel | None = None
+    routes: list[RouteModel] | None = Field(None, max_length=64)
+
+
+class TenantView(BaseModel):
+    id: str
+    name: str
+    state: State
+    limits: LimitsModel | None
+    routes: list[RouteModel] | None
+    version: int
+    created_at: datetime
+    changed_at: datetime
+
+    @classmethod
+    def of(cls, tenant: Tenant) -> TenantView:
+        return cls(id=tenant.id, name=tenant.name, state=tenant.state.value,
+                   limits=LimitsModel.of(tenant.limits) if tenant.limits is not None else None,
+                   routes=[RouteModel.of(r) for r in tenant.routes] if tenant.routes is not None else None,
+                   version=tenant.version, created_at=moment(tenant.created_at),
+                   changed_at=moment(tenant.changed_at))
+
+
+class LimitsView(BaseModel):
+    """The limits in force, and whether they are the tenant's own."""
+
+    limits: LimitsModel
+    own: bool
+
+    @classmethod
+    def of(cls, tenant: Tenant, defaults: Limits) -> LimitsView:
+        return cls(limits=LimitsModel.of(tenant.limits or defaults), own=tenant.limits is not None)
+
+
+class UsageView(BaseModel):
+    """What a tenant has in hand here, and what became of its requests since the proxy started."""
+
+    in_hand: int
+    bytes_held: int
+    asked: int
+    served: int
+    failed: int
+    refused: dict[str, int]
+
+
+class KeyCreate(Strict):
+    label: Name = ""
+    expires_at: Expiry | None = None
+
+
+class KeyView(BaseModel):
+    id: str = Field(description="the key's public part: what stands between its underscores")
+    label: str
+    created_at: datetime
+    expires_at: datetime | None
+    revoked_at: datetime | None
+    last_used_at: datetime | None
+
+    @classmethod
+    def of(cls, key: ApiKey, last_used_at: float | None = None) -> KeyView:
+        return cls(id=key.id, label=key.label, created_at=moment(key.created_at),
+                   expires_at=moment_or_none(key.expires_at), revoked_at=moment_or_none(key.revoked_at),
+                   last_used_at=moment_or_none(last_used_at))
+
+
+class KeyIssued(KeyView):
+    token: str | None = Field(description="the key itself, shown this once; null in a repeated answer")
+
+
+class TokenCreate(Strict):
+    label: Name = ""
+    tenant: TenantId | None = Field(None, description="whose token it is; null: an operator's")
+    expires_at: Expiry | None = None
+
+
+class TokenView(BaseModel):
+    id: str
+    label: str
+    tenant: str | None
+    created_at: datetime
+    expires_at: datetime | None
+    revoked_at: datetime | None
+
+    @classmethod
+    def of(cls, token: Token) -> TokenView:
+        return cls(id=token.id, label=token.label, tenant=token.tenant, created_at=moment(token.created_at),
+                   expires_at=moment_or_none(token.expires_at), revoked_at=moment_or_none(token.revoked_at))
+
+
+class TokenIssued(TokenView):
+    token: str | None = Field(description="the token itself, shown this once; null in a repeated answer")
+
+
+class BoxView(BaseModel):
+    id: str
+    address: str
+    state: Literal["ready", "draining", "gone"]
+    in_flight: int
+    changed_at: datetime = Field(description="when this proxy was told of the state")
+
+
+class Boxes(BaseModel):
+    items: list[BoxView]
+
+
+class EventView(BaseModel):
+    """One line of the audit log."""
+
+    seq: int
+    at: datetime
+    actor: str
+    action: str
+    tenant: str | None
+    target: str
+    before: dict[str, Any] | None
+    after: dict[str, Any] | None
+
+    @classmethod
+    def of(cls, event: AuditEvent) -> EventView:
+        return cls(seq=event.seq, at=moment(event.at), actor=event.actor, action=event.action,
+                   tenant=event.tenant, target=event.target,
+                   before=dict(event.before) if event.before is not None else None,
+                   after=dict(event.after) if event.after is not None else None)
--- /dev/null
+++ b/notchflow/cli.py
@@ -0,0 +1,89 @@
+"""The command line. Each command loads what it needs, and no more."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Sequence
+from importlib.util import find_spec
+from pathlib import Path
+
+USAGE_EXIT = 2
+
+
+def parser() -> argparse.ArgumentParser:
+    """The commands and their options."""
+    top = argparse.ArgumentParser(
+        prog="notchflow", description="A load-balancing proxy. Without a command, and with ROUTER_CONFIG "
+        "set, it is the platform's proxy.")
+    commands = top.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    serve = commands.add_parser("serve", help="run the hosted service by an operator file")
+    serve.add_argument("file", type=Path)
+    check = commands.add_parser("check", help="check an operator file and tell all its faults at once")
+    check.add_argument("file", type=Path)
+    demo = commands.add_parser("demo", help="the whole service with stand-ins and a small load, on loopback")
+    demo.add_argument("--seconds", type=float, default=0.0, help="end after so long (default: at Ctrl-C)")
+    demo.add_argument("--rate", type=float, default=60.0, help="requests a second in all (default: 60)")
+    demo.add_argument("--plain", action="store_true", help="lines instead of a live table")
+    admin = commands.add_parser("admin", help="call the administration API", add_help=False)
+    admin.add_argument("rest", nargs=argparse.REMAINDER)
+    return top
+
+
+def _extras(command: str) -> str | None:
+    missing = [name for name in ("fastapi", "uvicorn", "httpx", "rich") if find_spec(name) is None]
+    if not missing:
+        return None
+    return (f"notchflow: {command} needs {', '.join(missing)}, which are not installed; "
+            "install the extra: pip install 'notchflow[hosted]'")
+
+
+def _serve(file: Path) -> int:
+    from notchflow import logs
+    from notchflow.hosting.service import serve
+    logs.begin()
+    return serve(file)
+
+
+def _check(file: Path) -> int:
+    from notchflow.hosting.file import FileFaults, load
+    try:
+        load(file)
+    except FileFaults as error:
+        print(error, file=sys.stderr)
+        return USAGE_EXIT
+    print(f"{file}: valid")
+    return 0
+
+
+def _demo(seconds: float, rate: float, plain: bool) -> int:
+    if rate <= 0:
+        print(f"notchflow: --rate is {rate:g}; it must be above 0", file=sys.stderr)
+        return USAGE_EXIT
+    from notchflow.hosting.demo import run
+    return run(seconds, rate, plain)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Runs one command; its exit status."""
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    if not given:
+        from notchflow.__main__ import main as platform
+        return platform()
+    if given[0] == "admin":
+        problem = _extras("admin")
+        if problem is None:
+            from notchflow.admin.client import main as admin
+            return admin(given[1:])
+        print(problem, file=sys.stderr)
+        return 1
+    options = parser().parse_args(given)
+    problem = _extras(options.command)
+    if problem is not None:
+        print(problem, file=sys.stderr)
+        return 1
+    if options.command == "serve":
+        return _serve(options.file)
+    if options.command == "check":
+        return _check(options.file)
+    return _demo(options.seconds, options.rate, options.plain)
--- /dev/null
+++ b/notchflow/hosting/file.py
@@ -0,0 +1,203 @@
+"""The operator file: read and checked whole. Each fault names its place, the value, and what is allowed."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final, TypeVar
+
+from pydantic import TypeAdapter, ValidationError
+
+from notchflow.hosting.schema import (
+    AdminModel,
+    ClassModel,
+    FleetModel,
+    ListenerModel,
+    ServiceModel,
+    TenantsModel,
+)
+from notchflow.interface import Limits, Rules, Settings
+from notchflow.net.config import Config
+from notchflow.net.listing import Listing, decode_listing, parse_address
+from notchflow.tenancy.routes import faults as route_faults
+
+_T = TypeVar("_T")
+SECTIONS: Final = ("service", "listeners", "admin", "fleet", "classes", "tenants")
+VALUE_SHOWN: Final = 60
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One thing wrong with a file: where it stands, and what is wrong and allowed."""
+
+    place: str
+    what: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.what}" if self.place else self.what
+
+
+class FileFaults(Exception):
+    """An operator file that cannot be used, with all its faults."""
+
+    def __init__(self, path: Path, faults: list[Fault]) -> None:
+        super().__init__("\n".join(f"{path}: {fault}" for fault in faults))
+        self.path, self.faults = path, faults
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorFile:
+    """An operator file that holds."""
+
+    path: Path
+    service: ServiceModel
+    listeners: tuple[ListenerModel, ...]
+    admin: AdminModel
+    fleet: FleetModel
+    classes: tuple[ClassModel, ...]
+    tenants: TenantsModel
+
+    @property
+    def state(self) -> Path:
+        """The state folder; a relative one is beside the file."""
+        return self.path.parent / self.service.state
+
+    def listing(self) -> Listing:
+        """The fixed fleet in discovery's form; empty where discovery gives it."""
+        return decode_listing({"revision": 0, "complete": True, "members": [
+            {"id": b.id, "host_port": b.address, "locality": b.zone, "flavor": b.kind, "size": b.size,
+             "phase": "up"} for b in self.fleet.boxes]})
+
+    def settings(self) -> Settings:
+        fleet = self.fleet
+        return Settings(
+            classes=tuple(c.core() for c in self.classes), zone=fleet.zone,
+            rules=Rules(drain_grace_ms=fleet.drain_grace_ms, cold_share=fleet.cold_share,
+                        cold_ms=fleet.cold_ms, overload_factor=fleet.overload_factor, fall_ms=fleet.fall_ms),
+            limits=Limits(max_attempts=fleet.max_attempts, second_copies=fleet.second_copies, cancel=True,
+                          connect_timeout_ms=fleet.connect_timeout_ms))
+
+    def config(self, seed: int) -> Config:
+        """What the proxy itself is told."""
+        first, *others = [parse_address(entry.address) for entry in self.listeners]
+        return Config(
+            name=self.service.name, listen=first, also_listen=tuple(others),
+            discovery=parse_address(self.fleet.discovery) if self.fleet.discovery else None,
+            seed=seed, settings=self.settings(), known=self.listing(), conn_idle_ms=self.fleet.idle_ms,
+            memory_mb=self.service.memory_mb, sockets=self.service.sockets)
+
+
+def load(path: Path) -> OperatorFile:
+    """Reads and checks a file; FileFaults holds all that is wrong with it."""
+    try:
+        data = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise FileFaults(path, [Fault("", f"cannot be read: {error.strerror}")]) from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise FileFaults(path, [Fault("", f"not TOML: {error}")]) from None
+    return decode(data, path)
+
+
+def decode(data: Mapping[str, Any], path: Path) -> OperatorFile:
+    faults = [Fault(name, f"unknown section; allowed: {', '.join(SECTIONS)}")
+              for name in data if name not in SECTIONS]
+    service = _section(data, "service", ServiceModel, {}, faults)
+    listeners = _section(data, "listeners", tuple[ListenerModel, ...], None, faults)
+    admin = _section(data, "admin", AdminModel, None, faults)
+    fleet = _section(data, "fleet", FleetModel, None, faults)
+    classes = _section(data, "classes", tuple[ClassModel, ...], None, faults)
+    tenants = _section(data, "tenants", TenantsModel, {}, faults)
+    faults += _across(listeners, admin, fleet, classes, tenants)
+    if faults or None in (service, listeners, admin, fleet, classes, tenants):
+        raise FileFaults(path, faults)
+    assert service and listeners and admin and fleet and classes and tenants
+    return OperatorFile(path, service, listeners, admin, fleet, classes, tenants)
+
+
+def _section(data: Mapping[str, Any], name: str, shape: type[_T], default: Any,
+             faults: list[Fault]) -> _T | None:
+    value = data.get(name, default)
+    if value is None:
+        faults.append(Fault(name, "is missing and has no default"))
+        return None
+    if isinstance(value, list):  # TOML knows no tuples, and strict models take nothing else for one
+        value = tuple(value)
+    try:
+        return TypeAdapter(shape).validate_python(value)
+    except ValidationError as error:
+        faults += [Fault(_place(name, e["loc"]), _what(dict(e))) for e in error.errors(include_url=False)]
+        return None
+
+
+def _place(section: str, loc: tuple[int | str, ...]) -> str:
+    return section + "".join(f"[{part}]" if isinstance(part, int) else f".{part}" for part in loc)
+
+
+def _what(error: dict[str, Any]) -> str:
+    if error["type"] == "extra_forbidden":
+        return "unknown name"
+    if error["type"] == "missing":
+        return "is missing and has no default"
+    shown = repr(error["input"])
+    shown = shown if len(shown) <= VALUE_SHOWN else shown[:VALUE_SHOWN] + "..."
+    return f"is {shown}; {error['msg'][0].lower()}{error['msg'][1:]}"
+
+
+def _address_fault(place: str, text: str) -> list[Fault]:
+    try:
+        parse_address(text)
+    except ValueError as error:
+        return [Fault(place, str(error))]
+    return []
+
+
+def _across(listeners: tuple[ListenerModel, ...] | None, admin: AdminModel | None, fleet: FleetModel | None,
+            classes: tuple[ClassModel, ...] | None, tenants: TenantsModel | None) -> list[Fault]:
+    """What only shows where parts are seen together; parts that are wrong by themselves are left out."""
+    faults: list[Fault] = []
+    places: dict[str, str] = {}
+    bound = [(f"listeners[{i}].address", entry.address) for i, entry in enumerate(listeners or ())]
+    bound += [("admin.address", admin.address)] if admin is not None else []
+    if listeners == ():
+        faults.append(Fault("listeners", "is empty; at least one is needed"))
+    for place, address in bound:
+        faults += _address_fault(place, address)
+        if address in places:
+            faults.append(Fault(place, f"is {address!r}, which {places[address]} is already"))
+        places[address] = place
+    if fleet is not None:
+        faults += _fleet_faults(fleet)
+    names = [c.name for c in classes or ()]
+    for number, c in enumerate(classes or ()):
+        if c.name in names[:number]:
+            faults.append(Fault(f"classes[{number}].name", f"is {c.name!r}, which another class has already"))
+        if c.aim_ms > c.deadline_ms:
+            faults.append(Fault(f"classes[{number}].aim_ms",
+                                f"is {c.aim_ms:g}; at most the deadline, {c.deadline_ms:g}"))
+        if c.effect == "keyed" and c.window_ms <= 0:
+            faults.append(Fault(f"classes[{number}].window_ms",
+                                "is 0; a keyed class states for how long boxes drop a repeat"))
+    if classes == ():
+        faults.append(Fault("classes", "is empty; at least one is needed"))
+    if tenants is not None and classes is not None:
+        for place, what in route_faults([r.core() for r in tenants.routes], names):
+            index, _, field = place.partition(".")
+            faults.append(Fault(f"tenants.routes[{index}].{field}" if place else "tenants.routes", what))
+    return faults
+
+
+def _fleet_faults(fleet: FleetModel) -> list[Fault]:
+    faults: list[Fault] = []
+    if (fleet.discovery is None) == (not fleet.boxes):
+        faults.append(Fault("fleet", "needs either discovery or boxes, and not both"))
+    if fleet.discovery is not None:
+        faults += _address_fault("fleet.discovery", fleet.discovery)
+    seen: set[str] = set()
+    for number, box in enumerate(fleet.boxes):
+        faults += _address_fault(f"fleet.boxes[{number}].address", box.address)
+        if box.id in seen:
+            faults.append(Fault(f"fleet.boxes[{number}].id", f"is {box.id!r}, which another box has already"))
+        seen.add(box.id)
+    return faults
--- /dev/null
+++ b/notchflow/hosting/service.py
@@ -0,0 +1,305 @@
+"""The hosted service: the proxy on its loop, the administration on its own thread, the state on a third."""
+
+from __future__ import annotations
+
+import asyncio
+import concurrent.futures
+import contextlib
+import logging
+import os
+import secrets
+import signal
+import sys
+import time
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
+from pathlib import Path
+from typing import Any, Final, TypeVar
+
+import uvloop
+
+from notchflow.admin.api import Backend, create
+from notchflow.admin.operations import Change, Defaults, Operations
+from notchflow.admin.server import AdminServer, Bounds
+from notchflow.hosting.file import FileFaults, OperatorFile, load
+from notchflow.hosting.schema import EFFECTS, AdminModel
+from notchflow.interface import ListKind, State
+from notchflow.net.config import Config
+from notchflow.net.host import Host
+from notchflow.net.listing import Listing, parse_address
+from notchflow.state.database import Database, StateError
+from notchflow.tenancy.directory import Directory
+from notchflow.tenancy.door import Face, TenantDoor
+from notchflow.tenancy.model import Tenant, TenantState
+
+log = logging.getLogger(__name__)
+T = TypeVar("T")
+
+TOKEN_FILE: Final = "operator.token"
+# The interpreter lets the other thread go after this long (its default is 5 ms): the most that a busy
+# administration call holds up the proxy's loop at a time.
+SWITCH_S: Final = 0.0005
+USED_EVERY_S: Final = 10.0  # keys' last use goes to disk this often, all at once
+GONE_KEPT_MS: Final = 60_000.0  # a box that is gone is still shown for so long
+
+
+class HostedHost(Host):
+    """A host that also remembers what the list calls its boxes, for those who ask the API."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, door: TenantDoor) -> None:
+        self.seen: dict[int, tuple[str, str, State, float]] = {}  # name, address, state, told at (ms)
+        super().__init__(config, loop, door)
+
+    def apply(self, listing: Listing, kind: ListKind) -> None:
+        now, names, addresses = self.clock.now(), listing.names or {}, listing.addresses or {}
+        if kind is not ListKind.DELTA:
+            for node in self.seen.keys() - names.keys():
+                self._note(node, *self.seen[node][:2], State.GONE, now)
+        for member in listing.members:
+            host, port = addresses[member.node]
+            self._note(member.node, names[member.node], f"{host}:{port}", member.state, now)
+        self.seen = {node: box for node, box in self.seen.items()
+                     if box[2] is not State.GONE or box[3] + GONE_KEPT_MS > now}
+        super().apply(listing, kind)
+
+    def _note(self, node: int, name: str, address: str, state: State, now: float) -> None:
+        before = self.seen.get(node)
+        at = before[3] if before is not None and before[2] is state else now
+        self.seen[node] = name, address, state, at
+
+    def boxes(self) -> list[dict[str, Any]]:
+        nodes = self.balancer.fleet.nodes
+        return [{"id": name, "address": address, "state": state.value, "changed_at": at / 1e3,
+                 "in_flight": nodes[node].in_flight if node in nodes else 0}
+                for node, (name, address, state, at) in sorted(self.seen.items(), key=lambda item: item[1])]
+
+
+class Bridge:
+    """The running proxy for the administration's thread: each call is one turn of the proxy's loop."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, directory: Directory, host: HostedHost) -> None:
+        self.loop, self.directory, self.host = loop, directory, host
+
+    async def ask(self, call: Callable[[], T]) -> T:
+        """Runs a call on the proxy's loop and waits for it on this one."""
+        done: concurrent.futures.Future[T] = concurrent.futures.Future()
+
+        def run() -> None:
+            try:
+                done.set_result(call())
+            except BaseException as error:
+                done.set_exception(error)
+
+        self.loop.call_soon_threadsafe(run)
+        return await asyncio.wrap_future(done)
+
+    async def apply(self, changes: Sequence[Change]) -> None:
+        await self.ask(lambda: apply(self.directory, changes))
+
+    async def usage(self, tenant: str) -> dict[str, Any]:
+        def read() -> dict[str, Any]:
+            entry = self.directory.entries.get(tenant)
+            if entry is None:
+                return {"in_hand": 0, "bytes_held": 0, "asked": 0, "served": 0, "failed": 0, "refused": {}}
+            usage = entry.usage
+            return {"in_hand": usage.in_hand, "bytes_held": usage.bytes, "asked": usage.asked,
+                    "served": usage.served, "failed": usage.failed, "refused": dict(usage.refused)}
+
+        return await self.ask(read)
+
+    async def boxes(self) -> list[dict[str, Any]]:
+        return await self.ask(self.host.boxes)
+
+
+def apply(directory: Directory, changes: Iterable[Change]) -> None:
+    now = time.monotonic()
+    for change in changes:
+        if isinstance(change, Tenant):
+            directory.put(change, now)
+        else:
+            directory.put_key(change)
+
+
+def face(file: OperatorFile) -> Face:
+    return Face(file.fleet.path_prefix, file.fleet.host.encode(), file.service.body_max,
+                {c.name: EFFECTS[c.effect] for c in file.classes})
+
+
+def bounds(admin: AdminModel) -> Bounds:
+    return Bounds(admin.head_max, admin.body_max, admin.timeout_s, admin.rate_per_s, admin.burst,
+                  admin.connections)
+
+
+def defaults(file: OperatorFile) -> Defaults:
+    return Defaults(tuple(c.name for c in file.classes), file.tenants.limits.core())
+
+
+class Service:
+    """One hosted proxy, from its file to its end."""
+
+    def __init__(self, file: OperatorFile, loop: asyncio.AbstractEventLoop) -> None:
+        self.file, self.loop = file, loop
+        self.db = Database(file.state)
+        try:
+            self.operations = Operations(self.db, defaults(file))
+            self.directory = Directory(file.tenants.limits.core(), [r.core() for r in file.tenants.routes],
+                                       file.service.in_hand, self._drained)
+            self.door = TenantDoor(self.directory, face(file), self._pressure, secrets.token_hex(4).encode())
+            self.host = HostedHost(file.config(secrets.randbits(64)), loop, self.door)
+            self.door.host = self.host
+            self.bridge = Bridge(loop, self.directory, self.host)
+            self.backend = Backend(self.operations, self.bridge)
+            self.admin = AdminServer(create(self.backend), parse_address(file.admin.address),
+                                     bounds(file.admin))
+        except BaseException:
+            self.db.close()
+            raise
+        self.flushing: asyncio.TimerHandle | None = None
+
+    def _pressure(self) -> float:
+        return self.host.balancer.throttle.pressure()
+
+    def start(self) -> None:
+        """Takes over the state, then opens both listeners. OSError: an address is taken."""
+        token = self.operations.first_token()
+        if token is not None:
+            _write_secret(self.file.state / TOKEN_FILE, token)
+            log.info("an operator's token is in %s", self.file.state / TOKEN_FILE)
+        for tenant in self.db.tenants(state=TenantState.RETIRING.value):
+            self.operations.finish_retirement(tenant.id)  # nothing is in hand at a start
+        apply(self.directory, [t for t in self.db.tenants() if t.state is not TenantState.GONE])
+        apply(self.directory, self.db.live_keys())
+        self.host.start()
+        self.admin.start()
+        self.flushing = self.loop.call_later(USED_EVERY_S, self._flush)
+        log.info("serving %d tenants on %s, administration on %s", len(self.directory.entries),
+                 ", ".join(entry.address for entry in self.file.listeners), self.file.admin.address)
+
+    def _drained(self, tenant: str) -> None:
+        """Told on the proxy's loop, so the state is changed elsewhere."""
+        self.admin.spawn(lambda: self.backend.change(self.operations.finish_retirement, tenant))
+
+    def _flush(self) -> None:
+        self.flushing = self.loop.call_later(USED_EVERY_S, self._flush)
+        used = self.directory.take_used()
+        if used:
+            self.admin.spawn(lambda: self.backend.read(self.db.note_used, used))
+
+    def reload(self) -> list[str]:
+        """Takes over the file as it is now; what it says of things that only a start can change is told."""
+        try:
+            file = load(self.file.path)
+        except FileFaults as error:
+            log.error("the operator file stays as it was: %s", error)
+            return []
+        fixed = [name for name, old, new in (
+            ("service.name", self.file.service.name, file.service.name),
+            ("service.state", self.file.state, file.state),
+            ("service.memory_mb", self.file.service.memory_mb, file.service.memory_mb),
+            ("service.sockets", self.file.service.sockets, file.service.sockets),
+            ("listeners", self.file.listeners, file.listeners),
+            ("admin.address", self.file.admin.address, file.admin.address),
+            ("admin.head_max", self.file.admin.head_max, file.admin.head_max),
+            ("admin.timeout_s", self.file.admin.timeout_s, file.admin.timeout_s),
+            ("admin.connections", self.file.admin.connections, file.admin.connections),
+            ("classes", self.file.classes, file.classes),
+            ("fleet", replace_fleet(self.file), replace_fleet(file))) if old != new]
+        if fixed:
+            log.warning("these wait for the next start: %s", ", ".join(fixed))
+        if file.classes == self.file.classes:  # routes name classes: new ones wait with them
+            self.directory.redefine(file.tenants.limits.core(), [r.core() for r in file.tenants.routes],
+                                    file.service.in_hand)
+            self.operations.defaults = defaults(file)
+        else:
+            fixed.append("tenants")
+            log.warning("tenants.* waits for the next start, as it names classes")
+        self.door.face = replace(self.door.face, body_max=file.service.body_max)
+        self.admin.bounded.bounds = replace(
+            self.admin.bounded.bounds, body_max=file.admin.body_max, rate_per_s=file.admin.rate_per_s,
+            burst=file.admin.burst)
+        self._move(file)
+        self.file = self._in_force(file)
+        log.info("the operator file was taken over")
+        return fixed
+
+    def _in_force(self, file: OperatorFile) -> OperatorFile:
+        """What holds now: of the new file only what was taken over."""
+        old = self.file
+        return replace(
+            old, tenants=file.tenants if file.classes == old.classes else old.tenants,
+            service=old.service.model_copy(update={"in_hand": file.service.in_hand,
+                                                   "body_max": file.service.body_max}),
+            admin=old.admin.model_copy(update={"body_max": file.admin.body_max, "burst": file.admin.burst,
+                                               "rate_per_s": file.admin.rate_per_s}),
+            fleet=old.fleet.model_copy(update={"boxes": file.fleet.boxes, "discovery": file.fleet.discovery})
+            if (old.fleet.discovery is None) == (file.fleet.discovery is None) else old.fleet)
+
+    def _move(self, file: OperatorFile) -> None:
+        if (file.fleet.discovery is None) != (self.file.fleet.discovery is None):
+            return  # from one to the other needs a start
+        if file.fleet.discovery is not None:
+            self.host.discovery.move(parse_address(file.fleet.discovery))
+        elif file.fleet.boxes != self.file.fleet.boxes:
+            self.host.apply(file.listing(), ListKind.FULL)
+
+    def stop(self) -> None:
+        self.host.stop()
+
+    def end(self) -> None:
+        """After the loop has ended: the administration, then the state."""
+        if self.flushing is not None:
+            self.flushing.cancel()
+        self.admin.stop()
+        self.backend.thread.shutdown()
+        used = self.directory.take_used()
+        if used:
+            self.db.note_used(used)
+        self.db.close()
+
+
+def replace_fleet(file: OperatorFile) -> object:
+    """What of the fleet only a start can change: all but where its boxes are."""
+    return file.fleet.model_copy(update={"boxes": [], "discovery": file.fleet.discovery is None})
+
+
+def _write_secret(path: Path, text: str) -> None:
+    """A file that only its owner reads, whatever was there."""
+    with contextlib.suppress(FileNotFoundError):
+        path.unlink()
+    handle = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
+    try:
+        os.write(handle, text.encode() + b"\n")
+        os.fsync(handle)
+    finally:
+        os.close(handle)
+
+
+def serve(path: Path) -> int:
+    """Runs the hosted service by a file, until SIGTERM or SIGINT. 2: the file; 1: the state or an address."""
+    try:
+        file = load(path)
+    except FileFaults as error:
+        print(error, file=sys.stderr)
+        return 2
+    sys.setswitchinterval(SWITCH_S)
+    loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(loop)
+    try:
+        service = Service(file, loop)
+    except (StateError, OSError) as error:
+        print(f"notchflow: {error}", file=sys.stderr)
+        return 1
+    try:
+        service.start()
+    except OSError as error:
+        print(f"notchflow: cannot listen: {error}", file=sys.stderr)
+        service.end()
+        return 1
+    loop.add_signal_handler(signal.SIGHUP, service.reload)
+    loop.add_signal_handler(signal.SIGTERM, service.stop)
+    loop.add_signal_handler(signal.SIGINT, service.stop)
+    try:
+        loop.run_forever()
+    finally:
+        service.end()
+    return 0
--- a/notchflow/net/listing.py
+++ b/notchflow/net/listing.py
@@ -21,6 +21,7 @@
     complete: bool
     members: tuple[Member, ...] = ()
     addresses: Mapping[int, Address] | None = None
+    names: Mapping[int, str] | None = None
 
 
 def node_id(name: str) -> int:
@@ -44,7 +45,7 @@
     revision, complete, entries = data.get("revision"), data.get("complete"), data.get("members")
     if not isinstance(revision, int) or not isinstance(complete, bool) or not isinstance(entries, list):
         raise ValueError("expected a whole number in revision, a bool in complete and a list in members")
-    members, addresses = [], {}
+    members, addresses, names = [], {}, {}
     for entry in entries:
         try:
             node = node_id(entry["id"])
@@ -52,7 +53,7 @@
                 node=node, state=PHASES[entry["phase"]], kind=str(entry.get("flavor", "")),
                 zone=str(entry.get("locality", "")), cell=int(entry.get("cell", 0)),
                 size=float(entry.get("size", 1.0)), ready_at_ms=float(entry.get("up_since_ms", 0))))
-            addresses[node] = parse_address(entry["host_port"])
+            addresses[node], names[node] = parse_address(entry["host_port"]), entry["id"]
         except (TypeError, KeyError, AttributeError, ValueError, OverflowError) as error:
             raise ValueError(f"expected a member as discovery describes it ({error!r})") from None
-    return Listing(revision, complete, tuple(members), addresses)
+    return Listing(revision, complete, tuple(members), addresses, names)
--- a/standins/box.py
+++ b/standins/box.py
@@ -45,6 +45,7 @@
         self.port = 0
         self.draining = False
         self.body = b"x" * self.work.body
+        self.fields = b"X-Hit: hit\r\nX-Box: %b\r\n" % name.encode()
         self.loop = asyncio.get_running_loop()
         self.server: asyncio.Server | None = None
 
@@ -142,7 +143,7 @@
             box.executions[done.method, done.path, text or call] += 1
             if box.watch is not None:
                 box.watch(done, fields, body)
-        self._write(b"200 OK", b"X-Hit: hit\r\n", box.body)
+        self._write(b"200 OK", box.fields, box.body)
 
     def _write(self, status: bytes, extra: bytes, body: bytes) -> None:
         if self.transport is not None:
--- a/standins/load.py
+++ b/standins/load.py
@@ -13,6 +13,8 @@
 
 # The bytes of the next request, and what it is about (any label that the caller reports by).
 Draw = Callable[[], tuple[bytes, str]]
+# Told of each answer, instead of the tally: its label, status, milliseconds, and the box that gave it.
+Observe = Callable[[str, int, float, str], None]
 
 
 @dataclass(slots=True)
@@ -57,6 +59,8 @@
         self.label = ""
         self.asked_at = 0.0
         self.answered: Callable[[Asker], None] | None = None
+        self.observe: Observe | None = None
+        self.box = ""
         self.busy = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -72,12 +76,19 @@
         self.parser.feed_data(data)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() == b"retry-after":
+        low = name.lower()
+        if low == b"retry-after":
             self.tally.retry_after[float(value)] += 1
+        elif low == b"x-box":
+            self.box = value.decode("latin-1")
 
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
-        self.tally.add(self.label, status, (time.monotonic() - self.asked_at) * 1e3)
+        took = (time.monotonic() - self.asked_at) * 1e3
+        if self.observe is None:
+            self.tally.add(self.label, status, took)
+        else:
+            self.observe(self.label, status, took, self.box)
         self.busy = False
         if self.answered is not None:
             asyncio.get_running_loop().call_soon(self.answered, self)
@@ -127,7 +138,9 @@
     """An open loop: so many requests a second whatever becomes of them, on as many connections as it needs
     (up to a bound: then a request waits, and its wait counts)."""
 
-    def __init__(self, port: int, per_second: float, draw: Draw, connections_max: int = 256) -> None:
+    def __init__(self, port: int, per_second: float, draw: Draw, connections_max: int = 256,
+                 observe: Observe | None = None) -> None:
+        self.observe = observe
         self.port, self.per_second, self.draw = port, per_second, draw
         self.connections_max = connections_max
         self.tally = Tally()
@@ -178,7 +191,7 @@
             return
         finally:
             self.connecting -= 1
-        asker.answered = self._answered
+        asker.answered, asker.observe = self._answered, self.observe
         self.all.add(asker)
         self._answered(asker)
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -17,6 +17,7 @@
 from notchflow.net.config import Config
 from notchflow.net.discovery import Listing, decode_listing
 from notchflow.net.host import Host
+from notchflow.tenancy.door import TenantDoor
 from tests.helpers import make_settings
 
 _E = TypeVar("_E")
@@ -167,7 +168,9 @@
     """The proxy under test, with as many nodes as scripts are given."""
 
     def __init__(self, *scripts: Script, members: list[dict[str, Any]] | None = None,
-                 limits: dict[str, Any] | None = None, **changes: Any) -> None:
+                 limits: dict[str, Any] | None = None, door: TenantDoor | None = None,
+                 **changes: Any) -> None:
+        self.door = door
         self.nodes = [Peer(script) for script in scripts or (serve_value,)]
         self.discovery = Peer(self._answer_discovery)
         self.members = members
@@ -200,7 +203,9 @@
         known: Listing = decode_listing({"revision": 41, "complete": True, "members": members})
         config = Config(name="n0", listen=("127.0.0.1", 0), discovery=("127.0.0.1", self.discovery.port),
                         seed=7, settings=self.settings, known=known, **self.limits)
-        self.host = Host(config, asyncio.get_running_loop())
+        self.host = Host(config, asyncio.get_running_loop(), self.door)
+        if self.door is not None:
+            self.door.host = self.host
         self.host.start()
         assert self.host.front.listener is not None
         self.port = self.host.front.listener.getsockname()[1]
