--- a/notchflow/net/downstream.py
+++ b/notchflow/net/downstream.py
@@ -39,6 +39,7 @@
 # X-Call-Id or Idempotency-Key a box could not tell a repeat, and an effect would happen twice.
 END_TO_END = READ | {b"authorization", b"content-type", b"content-encoding", b"cache-control"}
 PREFIX = b"/api/"
+NO_HOST = b"Host: service.internal\r\n"
 READY = b"/health/ready"
 DOTS = frozenset({b".", b".."})
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
@@ -315,6 +316,8 @@
         except ValueError:
             self.fail(call, 400)
             return
+        if b"host" not in fields:  # allowed to the platform's clients, not to us (RFC 9112 section 3.2)
+            call.passed.append(NO_HOST)
         info = fields.get(b"x-call-info")
         self.host.request(
             call, fields.get(b"x-call-class", b"").decode("latin-1"),
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from types import TracebackType
-from typing import Any, TypeVar
+from typing import Any, Self, TypeVar
 
 import uvloop
 
@@ -194,7 +194,7 @@
             members = [self.entry(i) for i in range(len(self.nodes))]
         return answer(json.dumps({"revision": revision, "complete": complete, "members": members}).encode())
 
-    async def __aenter__(self) -> Rig:
+    async def __aenter__(self) -> Self:
         for peer in (*self.nodes, self.discovery):
             await peer.start()
         members = self.members
