--- a/notchflow/admin/api.py
+++ b/notchflow/admin/api.py
@@ -72,7 +72,8 @@
 # A token is checked before anything of the request is judged: who may not call learns nothing of the shapes.
 IfMatch = Annotated[str | None, Header(description="the ETag that was seen; required")]
 IdempotencyKey = Annotated[str | None, Header(
-    max_length=200, min_length=1, description="a repeat with the same key within a day gets the same answer")]
+    alias="Idempotency-Key", max_length=200, min_length=1,
+    description="a repeat with the same key within a day gets the same answer")]
 
 
 def problem(error: ApiProblem) -> Response:
--- a/tests/door/test_platform_door.py
+++ b/tests/door/test_platform_door.py
@@ -32,7 +32,14 @@
         b"",
     ),
     ("dots within a name", get(b"/api/a..b"), 200, "GET /api/a..b HTTP/1.1", {}, b""),
-    ("no host is allowed here", get(fields=ID), 200, "GET /api/00aa HTTP/1.1", {"host": "service.internal"}, b""),
+    (
+        "no host is allowed here",
+        get(fields=ID),
+        200,
+        "GET /api/00aa HTTP/1.1",
+        {"host": "service.internal"},
+        b"",
+    ),
     ("two hosts", get(fields=b"Host: a\r\nHost: b\r\n" + ID), 400, None, {}, b""),
     ("two ids", get(fields=ID + b"X-Call-Id: 2\r\n"), 400, None, {}, b""),
     (
--- /dev/null
+++ b/tests/hosting/test_service.py
@@ -0,0 +1,350 @@
+"""The hosted service under the hard cases: crush, drain, revoked keys, races, kill -9, slow calls."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from tests.hosting.rig import Service
+from tests.rig import Seen, answer, run, serve_value, until
+
+LONG = 60.0
+
+
+def test_a_tenant_is_added_changed_and_retired_in_a_crush_and_no_request_of_another_is_lost(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        async with Service(tmp_path, serve_value, serve_value) as service:
+            await service.add("alfa")
+            statuses: list[int] = []
+            over = asyncio.Event()
+
+            async def crush(number: int) -> None:
+                client, rng = await service.connect(), random.Random(number)
+                while not over.is_set():
+                    seen = await service.ask("alfa", client, path=f"/menus/{rng.randrange(50)}")
+                    statuses.append(seen.status)
+
+            clients = [asyncio.create_task(crush(i)) for i in range(24)]
+            for round_ in range(3):
+                name = f"guest-{round_}"
+                await service.add(name)
+                assert (await service.ask(name)).status == 200, "known at once"
+                assert (
+                    await service.change(name, limits={"rate_per_s": 1.0, "burst": 1.0})
+                ).status_code == 200
+                assert (await service.change(name, state="suspended")).status_code == 200
+                assert (await service.ask(name)).status == 403
+                assert (await service.change(name, state="active")).status_code == 200
+                assert (await service.change(name, "DELETE")).status_code == 202
+                await gone(service, name)
+                assert (await service.ask(name)).status == 401
+            over.set()
+            await asyncio.gather(*clients)
+            assert len(statuses) > 100 and set(statuses) == {200}
+
+    run(test(), LONG)
+
+
+async def gone(service: Service, tenant: str) -> None:
+    while (await service.tenant(tenant))["state"] != "gone":
+        await asyncio.sleep(0.01)
+
+
+def test_a_retiring_tenant_s_requests_in_hand_are_answered_before_it_is_gone(tmp_path: Path) -> None:
+    held: list[asyncio.Event] = []
+
+    async def hold(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        held.append(asyncio.Event())
+        await held[-1].wait()
+        writer.write(answer(b"late"))
+
+    async def test() -> None:
+        async with Service(tmp_path, hold) as service:
+            await service.add("alfa")
+            asking = asyncio.create_task(service.ask("alfa"))
+            await until(lambda: held)
+            assert (await service.change("alfa", "DELETE")).json()["state"] == "retiring"
+            refused = await service.ask("alfa")
+            assert refused.status == 403 and b"tenant-retiring" in refused.body
+            assert (await service.tenant("alfa"))["state"] == "retiring"
+            usage = (await service.api.get("/v1/tenants/alfa/usage")).json()
+            assert usage["in_hand"] == 1
+            held[0].set()
+            assert (await asking).status == 200
+            await gone(service, "alfa")
+            assert len(held) == 1, "nothing new was begun"
+            again = await service.api.post("/v1/tenants", json={"id": "alfa"})
+            assert again.status_code == 409, "an id is never given out again"
+            keys = (await service.api.get("/v1/tenants/alfa/keys")).json()["items"]
+            assert all(key["revoked_at"] for key in keys)
+
+    run(test(), LONG)
+
+
+def test_administration_calls_while_a_box_drains_leave_the_drain_kept(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Service(tmp_path, serve_value, serve_value) as service:
+            await service.add("alfa")
+            over = asyncio.Event()
+
+            async def crush(number: int) -> None:
+                client, rng = await service.connect(), random.Random(number)
+                while not over.is_set():
+                    assert (
+                        await service.ask("alfa", client, path=f"/menus/{rng.randrange(50)}")
+                    ).status == 200
+
+            async def administrate() -> None:
+                for number in range(15):
+                    await service.add(f"guest-{number}")
+
+            clients = [asyncio.create_task(crush(i)) for i in range(8)]
+            await until(lambda: all(len(box.seen) > 20 for box in service.boxes))
+            service.registry.told.clear()
+            calls = asyncio.create_task(administrate())
+            await service.registry.phase("s-0", "draining")
+            await until(lambda: "s-0" in service.registry.told)
+            while service.registry.told["s-0"] + 0.25 > asyncio.get_running_loop().time():
+                await asyncio.sleep(0.005)
+            after_grace = len(service.boxes[0].seen)
+            boxes = {b["id"]: b for b in (await service.api.get("/v1/boxes")).json()["items"]}
+            assert boxes["s-0"]["state"] == "draining" and boxes["s-1"]["state"] == "ready"
+            await calls
+            more = len(service.boxes[1].seen)
+            await until(lambda: len(service.boxes[1].seen) > more + 50)
+            over.set()
+            await asyncio.gather(*clients)
+            assert len(service.boxes[0].seen) == after_grace, "nothing new after the grace"
+
+    run(test(), LONG)
+
+
+def test_a_key_revoked_with_requests_in_hand_ends_for_the_next_one_on_a_kept_connection(
+    tmp_path: Path,
+) -> None:
+    held: list[asyncio.Event] = []
+
+    async def hold(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        held.append(asyncio.Event())
+        await held[-1].wait()
+        writer.write(answer())
+
+    async def test() -> None:
+        async with Service(tmp_path, hold) as service:
+            await service.add("alfa")
+            client = await service.connect()
+            client.writer.write(service.request("alfa"))
+            await until(lambda: held)
+            key = (await service.api.get("/v1/tenants/alfa/keys")).json()["items"][0]["id"]
+            assert (await service.api.delete(f"/v1/tenants/alfa/keys/{key}")).status_code == 204
+            held[0].set()
+            seen = await client.receive()
+            assert seen is not None and seen.status == 200, "what was taken is answered"
+            assert (await service.ask("alfa", client)).status == 401
+            old = service.tokens["alfa"]
+            await service.issue("alfa")
+            asking = asyncio.create_task(service.ask("alfa", client))
+            await until(lambda: len(held) == 2)
+            held[1].set()
+            assert (await asking).status == 200
+            assert old not in service.log and service.tokens["alfa"] not in service.log
+
+    run(test(), LONG)
+
+
+def test_of_two_changes_that_race_one_loses_and_is_told(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Service(tmp_path) as service:
+            await service.add("alfa")
+            won = 0
+            for round_ in range(10):
+                version = (await service.tenant("alfa"))["version"]
+                done = await asyncio.gather(
+                    *(
+                        service.api.patch(
+                            "/v1/tenants/alfa",
+                            json={"name": f"{round_}-{i}"},
+                            headers={"If-Match": f'"{version}"'},
+                        )
+                        for i in range(4)
+                    )
+                )
+                assert sorted(d.status_code for d in done) == [200, 412, 412, 412]
+                winner = next(d for d in done if d.status_code == 200).json()
+                assert await service.tenant("alfa") == winner
+                won += 1
+            assert (await service.tenant("alfa"))["version"] == 1 + won
+            assert (await service.api.patch("/v1/tenants/alfa", json={"name": "x"})).status_code == 428
+
+    run(test(), LONG)
+
+
+def test_what_was_acknowledged_outlives_kill_9(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Service(tmp_path) as service:
+            for number in range(3):
+                name = f"tenant-{number}"
+                await service.add(name)  # the last answer before the kill is a 201
+                await service.kill()
+                await service.start()
+                for kept in range(number + 1):
+                    assert (await service.ask(f"tenant-{kept}")).status == 200
+            events = (await service.api.get("/v1/events")).json()["items"]
+            assert [e["target"] for e in events if e["action"] == "tenant.create"] == [
+                "tenant-0",
+                "tenant-1",
+                "tenant-2",
+            ]
+
+    run(test(), LONG)
+
+
+def test_a_retirement_that_a_kill_cut_short_is_finished_at_the_start(tmp_path: Path) -> None:
+    async def hang(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(LONG)
+
+    async def test() -> None:
+        async with Service(tmp_path, hang) as service:
+            await service.add("alfa")
+            client = await service.connect()
+            client.writer.write(service.request("alfa"))
+            await until(lambda: service.sent)
+            assert (await service.change("alfa", "DELETE")).json()["state"] == "retiring"
+            await service.kill()
+            await service.start()
+            assert (await service.tenant("alfa"))["state"] == "gone"
+            assert (await service.ask("alfa")).status == 401
+
+    run(test(), LONG)
+
+
+def test_a_slow_or_huge_administration_call_ends_and_delays_no_client(tmp_path: Path) -> None:
+    bounds = "rate_per_s = 100000.0\nburst = 100000.0\ntimeout_s = 0.5\nbody_max = 2048\nhead_max = 2048"
+
+    async def test() -> None:
+        async with Service(tmp_path, admin=bounds) as service:
+            await service.add("alfa")
+            token = service.api.headers["Authorization"].encode()
+            head = b"POST /v1/tenants HTTP/1.1\r\nHost: a\r\nAuthorization: %b\r\n" % token
+            slow_head = await service.connect(service.admin_port)
+            slow_head.writer.write(head)
+            slow_body = await service.connect(service.admin_port)
+            slow_body.writer.write(head + b"Content-Length: 10\r\n\r\n{")
+            huge = await service.connect(service.admin_port)
+            huge.writer.write(head + b"Content-Length: 1000000\r\n\r\n")
+            chunked = await service.connect(service.admin_port)
+            chunked.writer.write(
+                head
+                + b"Transfer-Encoding: chunked\r\n\r\n"
+                + b"800\r\n"
+                + b"x" * 2048
+                + b"\r\n800\r\n"
+                + b"x" * 2048
+                + b"\r\n"
+            )
+            long_head = await service.connect(service.admin_port)
+            long_head.writer.write(head + b"X: " + b"x" * 10_000)
+            client, worst = await service.connect(), 0.0
+            for _ in range(200):
+                begun = time.monotonic()
+                assert (await service.ask("alfa", client)).status == 200
+                worst = max(worst, time.monotonic() - begun)
+            assert worst < 0.3, "a client's aim, on a machine that does other things too"
+            for caller, status in ((slow_body, 408), (huge, 413), (chunked, 413), (long_head, 400)):
+                seen = await caller.receive()
+                assert seen is not None and seen.status == status
+            assert await slow_head.reader.read() == b"", "closed without a word: there was no request"
+            assert (await service.api.get("/v1/tenants")).status_code == 200
+
+    run(test(), LONG)
+
+
+def test_calls_above_the_rate_are_told_when_to_return(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Service(tmp_path, admin="rate_per_s = 0.2\nburst = 5.0") as service:
+            done = [await service.api.get("/v1/tenants") for _ in range(8)]
+            refused = [d for d in done if d.status_code == 429]
+            assert refused and int(refused[-1].headers["retry-after"]) >= 4
+            assert refused[0].headers["content-type"] == "application/problem+json"
+
+    run(test(), LONG)
+
+
+def test_sighup_takes_over_what_can_change_and_says_what_cannot(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Service(tmp_path) as service:
+            await service.add("alfa")
+            assert (await service.ask("alfa", path="/menus/d1")).status == 200
+            service.rate, kept = 1.0, service.second
+            service.second += 1
+            service.write()
+            text = service.file.read_text()
+            service.file.write_text(text.replace('path = "/menus/{day}"', 'path = "/cartas/{day}"'))
+            service.signal(signal.SIGHUP)
+            await until(lambda: "was taken over" in service.log)
+            assert "wait for the next start: listeners" in service.log
+            assert (await service.ask("alfa", path="/menus/d1")).status == 404
+            assert (await service.ask("alfa", path="/cartas/d1")).status == 200
+            limits = (await service.api.get("/v1/tenants/alfa/limits")).json()
+            assert limits["limits"]["rate_per_s"] == 1.0 and not limits["own"]
+            statuses = [(await service.ask("alfa", path="/cartas/d1")).status for _ in range(3)]
+            assert 429 in statuses
+            assert (
+                await service.ask("alfa", await service.connect(kept), path="/x")
+            ).status == 404, "the second listener stays where it was"
+            service.file.write_text("[service")
+            service.signal(signal.SIGHUP)
+            await until(lambda: "stays as it was" in service.log)
+            assert (await service.ask("alfa", path="/x")).status == 404
+
+    run(test(), LONG)
+
+
+def test_sigterm_answers_what_is_in_hand_and_ends_with_nothing(tmp_path: Path) -> None:
+    held: list[asyncio.Event] = []
+
+    async def hold(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        held.append(asyncio.Event())
+        await held[-1].wait()
+        writer.write(answer())
+
+    async def test() -> None:
+        async with Service(tmp_path, hold) as service:
+            await service.add("alfa")
+            asking = asyncio.create_task(service.ask("alfa"))
+            await until(lambda: held)
+            service.signal(signal.SIGTERM)
+            await until(lambda: "draining" in service.log)
+            held[0].set()
+            assert (await asking).status == 200
+            assert await service.ended() == 0
+            await service.start()
+            key = (await service.api.get("/v1/tenants/alfa/keys")).json()["items"][0]
+            assert key["last_used_at"] is not None, "written at the end, not with the request"
+
+    run(test(), LONG)
+
+
+def test_a_second_process_and_a_taken_address_are_told(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Service(tmp_path) as service:
+            for state, told in (("state", "another process serves"), ("other", "ddress already in use")):
+                service.service_lines = f'state = "{state}"'
+                service.write()
+                done = await asyncio.to_thread(
+                    subprocess.run,
+                    [sys.executable, "-m", "notchflow", "serve", str(service.file)],
+                    capture_output=True,
+                    text=True,
+                    timeout=30,
+                )
+                assert done.returncode == 1 and told in done.stderr
+
+    run(test(), LONG)
