--- a/notchflow/logic.py
+++ b/notchflow/logic.py
@@ -1,6 +1,6 @@
 """Every decision of notchflow: hot-key factoring, the rules, health. Types: notchflow/interface.py.
 
-Pure: a Balancer is told the time and an event and answers with actions. docs/design.md says what is kept
+Pure: a Balancer is told the time and an event and answers with actions. docs/design/decisions.md says what is kept
 of the design and when each departure from it applies.
 """
 
