Show what an event changed; name a bad token file without its text

The table of audit events could not be read, and a token file that held something else was printed back.

--- a/notchflow/admin/client.py
+++ b/notchflow/admin/client.py
@@ -15,6 +15,8 @@
 from rich.console import Console
 from rich.table import Table
 
+from notchflow.tenancy.keys import ADMIN, public_id
+
 DEFAULT_URL: Final = "http://127.0.0.1:18081"
 TIMEOUT_S: Final = 15.0
 
@@ -168,6 +170,8 @@
         for name, value in result.items():
             console.print(f"{name}: {_cell(value)}", markup=False, soft_wrap=True)
     elif isinstance(result, list) and result:
+        if "before" in result[0]:
+            result = [_event(item) for item in result]
         table = Table(*result[0])
         for item in result:
             table.add_row(*(_cell(value) for value in item.values()))
@@ -176,6 +180,15 @@
         console.print("none")
 
 
+def _event(item: dict[str, Any]) -> dict[str, Any]:
+    """An audit event with what it changed, in place of all before and after (which `--json` shows)."""
+    before, after = item["before"] or {}, item["after"] or {}
+    changed = [f"{name}: {_cell(before.get(name))} -> {_cell(after.get(name))}" for name in before | after
+               if before.get(name) != after.get(name) and name not in ("version", "changed_at")]
+    row = {name: value for name, value in item.items() if name not in ("before", "after", "tenant")}
+    return row | {"change": "; ".join(changed) if before else "new"}
+
+
 def _cell(value: Any) -> str:
     return "-" if value is None else value if isinstance(value, str) else json.dumps(value)
 
@@ -189,8 +202,10 @@
     except OSError as error:
         print(f"notchflow admin: {options.token_file}: {error.strerror}", file=sys.stderr)
         return 2
-    if not token:
-        print("notchflow admin: no token: set NOTCHFLOW_TOKEN or give --token-file", file=sys.stderr)
+    if public_id(token, ADMIN) is None:  # its text is not shown: it may be another secret
+        where = options.token_file or "NOTCHFLOW_TOKEN"
+        print(f"notchflow admin: {where} holds no token (nva_...); set NOTCHFLOW_TOKEN or give --token-file",
+              file=sys.stderr)
         return 2
     try:
         result = run(Client(options.url, token), options)
