Bound the connections to the administration in words that its document knows

The server's own refusal of a connection too many was a plain 503 that the document does not have; such a connection is closed at once. A test opens one too many and finds the place free again.

--- a/notchflow/admin/server.py
+++ b/notchflow/admin/server.py
@@ -142,6 +142,9 @@
 
         def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
             super().connection_made(transport)
+            if len(self.connections) > bounds.connections:
+                transport.close()  # before a word: the server's own refusal is none that the document knows
+                return
             self._expect_head()
 
         def data_received(self, data: bytes) -> None:
@@ -188,7 +191,7 @@
             self.bounded, http=protocol(bounds), ws="none", lifespan="off", loop="asyncio",
             access_log=False, log_config=None, server_header=False, proxy_headers=False,
             h11_max_incomplete_event_size=bounds.head_max, timeout_keep_alive=KEEP_ALIVE_S,
-            limit_concurrency=bounds.connections, timeout_graceful_shutdown=int(STOP_S))
+            timeout_graceful_shutdown=int(STOP_S))
         self.server = uvicorn.Server(config)
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self._run, name="admin", daemon=True)
--- a/tests/hosting/test_service.py
+++ b/tests/hosting/test_service.py
@@ -266,6 +266,27 @@
     run(test(), LONG)
 
 
+def test_connections_to_the_administration_are_bounded(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Service(tmp_path, admin="connections = 4") as service:
+            kept = [await service.connect(service.admin_port) for _ in range(4)]
+            more = await service.connect(service.admin_port)
+            assert await more.reader.read() == b"", "closed without a word"
+            kept[0].writer.write(b"GET /openapi.json HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+            seen = await kept[0].receive()
+            assert seen is not None and seen.status == 200
+            await kept[0].reader.read()
+            while True:  # the place is free again, as soon as the server has noticed
+                again = await service.connect(service.admin_port)
+                again.writer.write(b"GET /v1/tenants HTTP/1.1\r\nHost: a\r\n\r\n")
+                seen = await again.receive()
+                if seen is not None:
+                    assert seen.status == 401
+                    break
+
+    run(test(), LONG)
+
+
 def test_calls_above_the_rate_are_told_when_to_return(tmp_path: Path) -> None:
     async def test() -> None:
         async with Service(tmp_path, admin="rate_per_s = 0.2\nburst = 5.0") as service:
