Find free ports and hold a box's answers in one place; drop what nothing uses

The demo, the service's rig and the benchmarks each found ports in their own way, and three tests wrote the same held box. standins/ports.py and tests/hosting/rig.Held serve them now. Two status words, a constant and a method that nothing called are gone.

--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -22,6 +22,7 @@
 from standins.box import Box, Work
 from standins.discovery import Registry, member
 from standins.load import Draw, Tally, closed_loop
+from standins.ports import free_ports
 
 ROOT = Path(__file__).resolve().parent.parent
 READY_S = 20.0
@@ -29,11 +30,6 @@
            {"Name": "pay", "ObjectiveMs": 300, "DeadlineMs": 1000, "Effect": "once", "Points": 8}]
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return int(server.getsockname()[1])
-
-
 def _boxes(pipe: Connection, count: int, work: Work) -> None:
     async def serve() -> None:
         boxes = [Box(f"s-{i}", work) for i in range(count)]
@@ -82,7 +78,7 @@
 def platform_proxy(discovery: str, fleet: list[tuple[str, str]],
                    root: Path = ROOT) -> Iterator[tuple[int, subprocess.Popen[bytes]]]:
     """The platform's proxy of a checkout: its port and its process."""
-    port = free_port()
+    port, = free_ports(1)
     with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
         json.dump({"name": "n0", "listen": f"127.0.0.1:{port}", "discovery": discovery, "seed": "1",
                    "limits": {"memory_mb": 192, "sockets": 4096},
--- a/benchmarks/tenancy.py
+++ b/benchmarks/tenancy.py
@@ -30,7 +30,6 @@
     ROOT,
     boxes,
     cpu_s,
-    free_port,
     load,
     memory_mb,
     platform_draw,
@@ -45,6 +44,7 @@
 from notchflow.tenancy.model import ApiKey, Limits, Route, Tenant
 from standins.box import Work
 from standins.load import Draw, Paced, Tally
+from standins.ports import free_ports
 
 AIM_MS = 300.0
 LOST_MAX = 0.02  # of the in-time worth of the tenant that keeps its limits
@@ -97,7 +97,7 @@
 def hosted(discovery: str, names: list[str],
            limits: Limits | None = None) -> Iterator[tuple[int, subprocess.Popen[bytes], dict[str, str]]]:
     """A hosted proxy with tenants: its port, its process, their keys."""
-    port, admin = free_port(), free_port()
+    port, admin = free_ports(2)
     with tempfile.TemporaryDirectory() as folder:
         file = Path(folder) / "hosted.toml"
         file.write_text(CONFIG.format(port=port, admin=admin, discovery=discovery))
--- a/notchflow/hosting/demo.py
+++ b/notchflow/hosting/demo.py
@@ -7,7 +7,6 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -29,6 +28,7 @@
 from standins.box import Box, Work
 from standins.discovery import Registry, member
 from standins.load import Paced
+from standins.ports import free_ports
 
 READY_S: Final = 20.0
 BOXES: Final = 4
@@ -168,14 +168,6 @@
     return draw
 
 
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [int(s.getsockname()[1]) for s in sockets]
-    for s in sockets:
-        s.close()
-    return ports
-
-
 async def _ready(port: int, process: subprocess.Popen[bytes]) -> None:
     until = time.monotonic() + READY_S
     async with httpx.AsyncClient(trust_env=False) as http:
@@ -228,7 +220,7 @@
     async with AsyncExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="notchflow-demo-")))
         registry = await _fleet(stack)
-        port, admin = _free_ports(2)
+        port, admin = free_ports(2)
         file = folder / "demo.toml"
         file.write_text(FILE.format(port=port, admin=admin, discovery=registry.address))
         # A group of its own: Ctrl-C is for this process, which then ends the service in good order.
--- a/notchflow/net/downstream.py
+++ b/notchflow/net/downstream.py
@@ -43,8 +43,8 @@
 READY = b"/health/ready"
 DOTS = frozenset({b".", b".."})
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-           401: b"Unauthorized", 403: b"Forbidden", 406: b"Not Acceptable",
-           408: b"Request Timeout", 413: b"Content Too Large", 414: b"URI Too Long",
+           401: b"Unauthorized", 403: b"Forbidden",
+           408: b"Request Timeout", 413: b"Content Too Large",
            429: b"Too Many Requests", 431: b"Request Header Fields Too Large", 501: b"Not Implemented",
            502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
 
--- a/notchflow/tenancy/directory.py
+++ b/notchflow/tenancy/directory.py
@@ -138,10 +138,6 @@
         used, self.used = self.used, {}
         return used
 
-    def in_hand(self, tenant: str) -> int:
-        entry = self.entries.get(tenant)
-        return entry.usage.in_hand if entry is not None else 0
-
 
 def retired(tenant: Tenant, now: float) -> Tenant:
     """The last value of a tenant that has drained."""
--- a/notchflow/tenancy/problems.py
+++ b/notchflow/tenancy/problems.py
@@ -8,7 +8,6 @@
 
 from notchflow.net.exchange import Reply
 
-MEDIA: Final = "application/problem+json"
 TYPE: Final = "urn:notchflow:problem:"
 
 TITLES: Final = {
--- a/tests/hosting/rig.py
+++ b/tests/hosting/rig.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -15,7 +14,8 @@
 
 from notchflow.hosting.service import TOKEN_FILE
 from standins.discovery import Registry, member
-from tests.rig import Client, Peer, Script, Seen, serve_value
+from standins.ports import free_ports
+from tests.rig import Client, Peer, Script, Seen, answer, serve_value
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 CONFIG = """
@@ -64,12 +64,16 @@
 """
 
 
-def free_ports(count: int) -> list[int]:
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [int(s.getsockname()[1]) for s in sockets]
-    for s in sockets:
-        s.close()
-    return ports
+class Held:
+    """A box's script that answers each request only when it is let go."""
+
+    def __init__(self) -> None:
+        self.requests: list[asyncio.Event] = []
+
+    async def __call__(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
+        self.requests.append(asyncio.Event())
+        await self.requests[-1].wait()
+        writer.write(answer())
 
 
 class Service:
--- a/tests/hosting/test_service.py
+++ b/tests/hosting/test_service.py
@@ -10,8 +10,8 @@
 import time
 from pathlib import Path
 
-from tests.hosting.rig import Service
-from tests.rig import Seen, answer, run, serve_value, until
+from tests.hosting.rig import Held, Service
+from tests.rig import Seen, run, serve_value, until
 
 LONG = 60.0
 
@@ -58,12 +58,8 @@
 
 
 def test_a_retiring_tenant_s_requests_in_hand_are_answered_before_it_is_gone(tmp_path: Path) -> None:
-    held: list[asyncio.Event] = []
-
-    async def hold(seen: Seen, writer: asyncio.StreamWriter) -> None:
-        held.append(asyncio.Event())
-        await held[-1].wait()
-        writer.write(answer(b"late"))
+    hold = Held()
+    held = hold.requests
 
     async def test() -> None:
         async with Service(tmp_path, hold) as service:
@@ -129,12 +125,8 @@
 def test_a_key_revoked_with_requests_in_hand_ends_for_the_next_one_on_a_kept_connection(
     tmp_path: Path,
 ) -> None:
-    held: list[asyncio.Event] = []
-
-    async def hold(seen: Seen, writer: asyncio.StreamWriter) -> None:
-        held.append(asyncio.Event())
-        await held[-1].wait()
-        writer.write(answer())
+    hold = Held()
+    held = hold.requests
 
     async def test() -> None:
         async with Service(tmp_path, hold) as service:
@@ -329,12 +321,8 @@
 
 
 def test_sigterm_answers_what_is_in_hand_and_ends_with_nothing(tmp_path: Path) -> None:
-    held: list[asyncio.Event] = []
-
-    async def hold(seen: Seen, writer: asyncio.StreamWriter) -> None:
-        held.append(asyncio.Event())
-        await held[-1].wait()
-        writer.write(answer())
+    hold = Held()
+    held = hold.requests
 
     async def test() -> None:
         async with Service(tmp_path, hold) as service:
