--- a/standins/box.py
+++ b/standins/box.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,16 +11,19 @@
 
 from httptools import HttpParserError, HttpRequestParser
 
+BACKLOG = 1_024  # a proxy that starts may dial as often as it has clients
 QUEUE_MAX = 512  # requests waiting for a core; more are turned away, as a box does
 
 
 @dataclass(frozen=True, slots=True)
 class Work:
-    """What a box costs: seconds of a core for a request (0: answered at once), cores, bytes of an answer."""
+    """What a box costs: seconds of a core for a request (0: answered at once), cores, bytes of an answer, and
+    the share of requests that it turns away unheard."""
 
     seconds: float = 0.0
     cores: int = 2
     body: int = 512
+    failing: float = 0.0
 
 
 @dataclass(slots=True)
@@ -42,6 +46,7 @@
         self.busy = 0
         self.queue: deque[Callable[[], None]] = deque()
         self.open: set[asyncio.Transport] = set()
+        self.random = random.Random(name)
         self.port = 0
         self.draining = False
         self.body = b"x" * self.work.body
@@ -50,7 +55,7 @@
         self.server: asyncio.Server | None = None
 
     async def start(self, port: int = 0) -> None:
-        self.server = await self.loop.create_server(lambda: _Peer(self), "127.0.0.1", port)
+        self.server = await self.loop.create_server(lambda: _Peer(self), "127.0.0.1", port, backlog=BACKLOG)
         self.port = self.server.sockets[0].getsockname()[1]
 
     @property
@@ -64,6 +69,10 @@
         for transport in list(self.open):
             transport.abort()
 
+    def fails(self) -> bool:
+        """Whether this request is one of those turned away; the same ones every time."""
+        return self.work.failing > 0 and self.random.random() < self.work.failing
+
     def admit(self, run: Callable[[], None]) -> bool:
         """Takes work for a core, now or from the queue; false where the queue is full."""
         if self.busy < self.work.cores:
@@ -125,7 +134,7 @@
     def on_message_complete(self) -> None:
         method = self.parser.get_method()
         url, fields, body = self.url, self.fields, self.body
-        if self.box.draining:
+        if self.box.draining or self.box.fails():
             self._write(b"503 Service Unavailable", b"X-Rejected: 1\r\n", b"")
         elif b"x-call-id" not in fields:
             self._write(b"404 Not Found", b"", b"")
--- a/standins/load.py
+++ b/standins/load.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import cast
 
@@ -107,8 +107,8 @@
     return asker
 
 
-async def closed_loop(port: int, connections: int, seconds: float, draw: Draw) -> Tally:
-    """Each connection asks again as soon as it is answered."""
+async def closed_loop(ports: Sequence[int], connections: int, seconds: float, draw: Draw) -> Tally:
+    """Each connection asks again as soon as it is answered. The ports get the connections in turn."""
     tally = Tally()
     until = time.monotonic() + seconds
     over = asyncio.Event()
@@ -126,7 +126,7 @@
             over.set()
 
     begun = time.monotonic()
-    for asker in await asyncio.gather(*(_connect(port, tally) for _ in range(connections))):
+    for asker in await asyncio.gather(*(_connect(ports[i % len(ports)], tally) for i in range(connections))):
         asker.answered = again
         asker.ask(*draw())
     await over.wait()
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,271 @@
+"""The module decides today what it decided before its hot path was made faster.
+
+A small world of servers, clients and faults, all drawn from one seed, drives the module event by event; what
+it sends, cancels, refuses and fails is compared, in blocks of a hundred, with what the module of commit 0a6859d
+did in the same world. `python -m tests.test_trace` prints the record of the code as it is.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import heapq
+import json
+import random
+from collections import Counter
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from notchflow import Balancer
+from notchflow.interface import (
+    Cancel,
+    ClientGone,
+    Effect,
+    Event,
+    Fail,
+    Group,
+    Limits,
+    ListKind,
+    Member,
+    Membership,
+    Outcome,
+    Refuse,
+    Request,
+    RequestClass,
+    Rules,
+    Send,
+    SetTimer,
+    Settings,
+    State,
+    Status,
+    StreamStarted,
+    Timer,
+    Watch,
+)
+from tests.helpers import key
+
+RECORD = Path(__file__).parent / "trace.json"
+BLOCK = 100
+CLASSES = (
+    RequestClass("read", 300, 1000),
+    RequestClass("list", 600, 2000, worth=3.0, stream=True),
+    RequestClass("pay", 300, 1000, worth=8.0, effect=Effect.UNSAFE),
+    RequestClass("keyed", 300, 1000, worth=2.0, effect=Effect.KEYED, window_ms=400),
+    RequestClass("celled", 300, 1000, effect=Effect.KEYED, group=Group.CELL, window_ms=400),
+)
+RULES = Rules(answer_slack_ms=20, ask_within_ms=10_000, drain_grace_ms=250, cold_share=0.2, cold_ms=4_000,
+              overload_factor=3, fall_ms=1_000)
+
+
+@dataclass(frozen=True, slots=True)
+class Scene:
+    """A span of the world: its requests a second, how skewed their keys are, and what goes wrong."""
+
+    seconds: float
+    rate: float
+    hot: float = 0.0  # share of the traffic that asks for one key
+    full: float = 0.0
+    error: float = 0.0
+    reset: float = 0.0
+    hang: float = 0.0
+    gone: float = 0.0  # share of the clients that leave
+    slow: float = 1.0
+    mute: str = ""  # a class that every third server hangs on
+    lists: str = ""  # what happens to the list of servers at its start
+
+
+SCENES = (
+    Scene(8.0, 120.0), Scene(4.0, 300.0, hot=0.4), Scene(3.0, 200.0, full=0.3),
+    Scene(3.0, 150.0, error=0.2), Scene(3.0, 150.0, reset=0.1, gone=0.1),
+    Scene(3.0, 120.0, hang=0.1, lists="add"), Scene(4.0, 900.0, slow=4.0), Scene(4.0, 150.0, mute="read"),
+    Scene(4.0, 200.0, hot=0.5, lists="drain"), Scene(4.0, 250.0, lists="replace"),
+    Scene(2.0, 150.0, lists="fail"),
+    Scene(3.0, 200.0, hot=0.2, full=0.1, error=0.1, hang=0.05, gone=0.05),
+)
+
+
+class World:
+    """Events in order of time; every draw of the world is its own, never the module's."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.balancer = Balancer(settings, seed=seed, now=0.0)
+        self.settings = settings
+        self.heap: list[tuple[float, int, Any]] = []
+        self.count = 0
+        self.now = 0.0
+        self.scene = SCENES[0]
+        self.members = {i: Member(1000 + 7919 * i, kind="ml"[i % 2], zone="ab"[i % 2], cell=i % 4,
+                                  size=1.0 + i % 3) for i in range(8)}
+        if settings.origin_kind is not None:
+            self.members[99] = Member(5, kind=settings.origin_kind)
+        self.open: dict[int, tuple[Request, dict[int, int]]] = {}
+        self.attempts: Counter[int] = Counter()
+        self.busy: Counter[int] = Counter()
+        self.lines: list[str] = []
+
+    def at(self, due: float, event: Any) -> None:
+        self.count += 1
+        heapq.heappush(self.heap, (due, self.count, event))
+
+    def play(self) -> list[str]:
+        start = 0.0
+        self.tell(Membership(ListKind.CACHED, tuple(self.members.values()), 1))
+        for scene in SCENES:
+            self.at(start, scene)
+            at = start
+            while (at := at + self.rng.expovariate(scene.rate) * 1e3) < start + scene.seconds * 1e3:
+                self.at(at, "ask")
+            start += scene.seconds * 1e3
+        while self.heap and self.now < start + 5_000:
+            self.now, _, event = heapq.heappop(self.heap)
+            if isinstance(event, Scene):
+                self.scene = event
+                self.relist(event.lists)
+            elif event == "ask":
+                self.ask()
+            elif isinstance(event, tuple):
+                self.finish(*event)
+            elif isinstance(event, ClientGone):
+                if event.id in self.open:
+                    self.close(event.id)
+                    self.tell(event)
+            else:
+                self.tell(event)
+        return self.lines
+
+    def relist(self, what: str) -> None:
+        members, kind = self.members, ListKind.DELTA
+        if what == "add":
+            members |= {i: Member(9000 + 31 * i, kind="m", zone="a", cell=i % 4, ready_at_ms=self.now - 100)
+                        for i in (20, 21)}
+        elif what == "drain":
+            members[0] = replace(members[0], state=State.DRAINING)
+            members[1] = replace(members[1], state=State.GONE)
+        elif what == "replace":
+            kind = ListKind.FULL
+            del members[2]
+            members[3] = replace(members[3], ready_at_ms=self.now - 500)
+        if what == "fail":
+            self.tell(Membership(ListKind.FAILED))
+        elif what:
+            self.tell(Membership(kind, tuple(members.values()), 2))
+
+    def ask(self) -> None:
+        rng, number = self.rng, len(self.lines) * 1000 + self.count
+        cls = rng.choices(["read", "list", "pay", "keyed", "celled", "unheard"], [60, 15, 8, 8, 8, 1])[0]
+        name: str | None = key(rng.randrange(300))
+        if rng.random() < self.scene.hot:
+            name = key(7)
+        elif rng.random() < 0.03:
+            name = None
+        elif rng.random() < 0.1:
+            name = f"tenant/{rng.randrange(40)}"
+        deadline = next((c.deadline_ms for c in CLASSES if c.name == cls), 500.0)
+        request = Request(number, cls, self.now + deadline * rng.choice([1.0, 1.0, 0.5]), key=name,
+                          write=cls == "pay")
+        self.open[number] = request, {}
+        if rng.random() < self.scene.gone:
+            self.at(self.now + rng.uniform(1, 60), ClientGone(number))
+        self.tell(request)
+
+    def close(self, number: int) -> None:
+        _, out = self.open.pop(number)
+        for attempt, node in out.items():
+            self.at(self.now, (number, attempt, node, Status.CANCELLED, self.now))
+
+    def send(self, action: Send) -> None:
+        number, node = action.id, action.node
+        attempt = self.attempts[number]
+        self.attempts[number] += 1
+        if number not in self.open:
+            self.at(self.now, (number, attempt, node, Status.MOOT, self.now))
+            return
+        request, out = self.open[number]
+        out[attempt] = node
+        self.busy[node] += 1
+        rng, scene = self.rng, self.scene
+        took = rng.lognormvariate(2.0, 0.7) * scene.slow * (1 + self.busy[node] / 4)
+        draw, status = rng.random(), Status.OK
+        faults = (scene.full, Status.FULL), (scene.error, Status.ERROR), (scene.reset, Status.RESET)
+        for share, fault in faults:
+            if draw < share:
+                status = fault
+                break
+            draw -= share
+        else:
+            if draw < scene.hang or (scene.mute == request.cls and node % 3 == 0):
+                took = 1e9
+            elif self.settings.origin_kind is not None and node != 5 and rng.random() < 0.2:
+                status = Status.MISS
+        if status is Status.FULL:
+            took = 0.5
+        limit = request.deadline if action.timeout_ms is None else min(request.deadline,
+                                                                      self.now + action.timeout_ms)
+        if self.now + took >= limit:
+            took, status = limit - self.now, Status.TIMEOUT
+        if status is Status.OK and request.cls == "list" and rng.random() < 0.3:
+            self.at(self.now + took / 2, StreamStarted(number, attempt, node))
+        self.at(self.now + took, (number, attempt, node, status, self.now))
+
+    def finish(self, number: int, attempt: int, node: int, status: Status, begun: float) -> None:
+        request, out = self.open.get(number, (None, {}))
+        if status not in (Status.CANCELLED, Status.MOOT) and out.pop(attempt, None) is None:
+            return  # ended before
+        if status is not Status.MOOT:
+            self.busy[node] -= 1
+        closed = request is None or status is Status.OK
+        if status is Status.OK:
+            self.close(number)
+        self.tell(Outcome(number, attempt, node, status, self.now - begun, closed,
+                          True if status is Status.OK else None))
+
+    def tell(self, event: Event) -> None:
+        for action in self.balancer.handle(self.now, event):
+            match action:
+                case Send(number, node, timeout):
+                    cut = "" if timeout is None else f" {timeout:.6f}"
+                    self.lines.append(f"{self.now:.6f} send {number} {node}{cut}")
+                    self.send(action)
+                case Cancel(number, attempt):
+                    self.lines.append(f"{self.now:.6f} cancel {number} {attempt}")
+                    _, out = self.open.get(number, (None, {}))
+                    if attempt in out:
+                        self.at(self.now, (number, attempt, out.pop(attempt), Status.CANCELLED, self.now))
+                case Refuse(number) | Fail(number):
+                    self.lines.append(f"{self.now:.6f} {type(action).__name__.lower()} {number}")
+                    if number in self.open:
+                        self.close(number)
+                case SetTimer(due, token):
+                    self.at(due, Timer(token))
+                case Watch():
+                    self.lines.append(f"{self.now:.6f} watch")
+
+
+def worlds() -> dict[str, Settings]:
+    limits = Limits(max_attempts=3, second_copies=True, cancel=True)
+    plain = Settings(classes=CLASSES, zone="a", rules=RULES, limits=limits)
+    return {"plain": plain, "aside": replace(plain, origin_kind="origin", list_on_request=True),
+            "strict": replace(plain, limits=Limits(max_attempts=2), worth_by_work=True)}
+
+
+def record(name: str, seed: int = 3) -> dict[str, Any]:
+    lines = World(worlds()[name], seed).play()
+    blocks = ["\n".join(lines[i : i + BLOCK]) for i in range(0, len(lines), BLOCK)]
+    return {"kinds": dict(sorted(Counter(line.split()[1] for line in lines).items())),
+            "blocks": [hashlib.sha256(b.encode()).hexdigest()[:8] for b in blocks]}
+
+
+@pytest.mark.parametrize("name", worlds())
+def test_the_same_events_bring_the_same_actions(name: str) -> None:
+    was, now = json.loads(RECORD.read_text())[name], record(name)
+    assert set(was["kinds"]) >= {"send", "refuse"} and was["kinds"]["send"] > 3_000
+    differing = [i for i, (a, b) in enumerate(zip(was["blocks"], now["blocks"], strict=False)) if a != b]
+    assert not differing, f"from action {differing[0] * BLOCK} on, what is done differs"
+    assert now == was
+
+
+if __name__ == "__main__":
+    print(json.dumps({name: record(name) for name in worlds()}))
