Timers that are cancelled in constant time; second copies share one timer

A request left its deadline in a heap until it came due, and one more timer for its second copy. The module keeps one queue for second copies and asks for one timer. A hot key that is spread no longer ranks the fleet on each request, and failures no longer count it each time.

--- a/notchflow/interface.py
+++ b/notchflow/interface.py
@@ -1,6 +1,7 @@
 """The contract of notchflow: settings, the events a balancer is told and the actions it answers with.
 
-All times are milliseconds on the caller's clock, all ids are the caller's and carry no meaning.
+All times are milliseconds on the caller's clock, all ids are the caller's and carry no meaning. What comes
+with every request is a named tuple: a frozen dataclass takes four times as long to make.
 """
 
 from __future__ import annotations
@@ -9,7 +10,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TypeAlias
+from typing import NamedTuple, TypeAlias
 
 
 class Effect(Enum):
@@ -63,7 +64,7 @@
         return self in _NEVER_RAN
 
 
-_NEVER_RAN = frozenset({Status.FULL, Status.CONNECT_FAILED, Status.MOOT, Status.MISS})
+_NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT, Status.MISS)  # few: found by identity
 
 
 def _check(ok: bool, name: str, what: str) -> None:
@@ -210,8 +211,7 @@
     version: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
+class Request(NamedTuple):
     """A client's request: the balancer now owes it one final answer before its deadline."""
 
     id: int
@@ -234,8 +234,7 @@
     node: int
 
 
-@dataclass(frozen=True, slots=True)
-class Outcome:
+class Outcome(NamedTuple):
     """How one attempt ended. `closed` means that the request is finished."""
 
     id: int
@@ -283,8 +282,7 @@
 Event: TypeAlias = Membership | Request | StreamStarted | Outcome | ClientGone | Probed | Timer | PeerMessage
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
+class Send(NamedTuple):
     """Start an attempt; without a time-out it runs until the client gives up."""
 
     id: int
--- a/notchflow/logic.py
+++ b/notchflow/logic.py
@@ -11,6 +11,7 @@
 import random
 from collections import deque
 from collections.abc import Iterable
+from heapq import heappop, heappush
 from typing import Final
 
 from notchflow.interface import (
@@ -38,6 +39,7 @@
 # --- order of servers and load bound
 PLACES: Final = 6
 MEMO_MAX: Final = 20_000  # remembered keys
+WHOLE_MAX: Final = 4 * TOP_K  # and those whose whole order is remembered
 BOUND: Final = 3.0
 BOUND_MIN: Final = 6.0  # in flight below which the bound never acts
 WARM_STEP_MS: Final = 500.0  # a cold server's weight is raised this often
@@ -74,6 +76,14 @@
 
 MASK: Final = (1 << 64) - 1
 
+# Looking up a member of an enum costs as much as a call: these are looked up several times a request.
+OK, ERROR, FULL, TIMEOUT = Status.OK, Status.ERROR, Status.FULL, Status.TIMEOUT
+CONNECT_FAILED, RESET = Status.CONNECT_FAILED, Status.RESET
+CANCELLED, MOOT, MISS = Status.CANCELLED, Status.MOOT, Status.MISS
+ANSWERED: Final = (OK, ERROR, FULL, MISS)  # whatever it says, the server is alive
+SILENT: Final = (CANCELLED, MOOT, MISS)  # says nothing of whether the server answers in time
+READY, SAFE, UNSAFE = State.READY, Effect.SAFE, Effect.UNSAFE
+
 
 def mixed(data: int | str) -> int:
     """A 64-bit hash that is the same in every process."""
@@ -194,7 +204,8 @@
         self.good *= FADE
 
     def pressure(self) -> float:
-        return max(0.0, (self.asked - TOLERANCE * self.good - CHANCE) / (self.asked + 1))
+        over = self.asked - TOLERANCE * self.good - CHANCE
+        return over / (self.asked + 1) if over > 0 else 0.0
 
 
 class Mute:
@@ -215,13 +226,14 @@
 class Node:
     """One server as this balancer knows it."""
 
-    __slots__ = ("id", "salt", "member", "weight", "in_flight", "fails", "answered_at",
+    __slots__ = ("id", "salt", "member", "weight", "in_flight", "fails", "answered_at", "cold_until",
                  "ejected_until", "pause", "cold_sent", "trial", "throttle", "newest", "mutes")
 
     def __init__(self, member: Member) -> None:
         self.id = member.node
         self.salt = mixed(member.node)
         self.in_flight = 0
+        self.cold_until = -math.inf
         self.restart(member)
 
     def restart(self, member: Member) -> None:
@@ -250,6 +262,7 @@
         self.kind_slow: dict[str, list[float]] = {}  # kind -> sum and count of relative latencies lately
         self.class_latency: dict[str, float] = {}
         self.memo: dict[str, list[Node]] = {}
+        self.whole: dict[str, list[Node]] = {}  # the same of hot keys, with all places
         self.in_flight = 0
         self.cold_until = 0.0
         self.warmed_at = self.learned_at = -math.inf
@@ -268,24 +281,27 @@
             known = self.nodes.get(member.node)
             if known is None:
                 self.nodes[member.node] = Node(member)
-            elif member.ready_at_ms > known.member.ready_at_ms and member.state is State.READY:
+            elif member.ready_at_ms > known.member.ready_at_ms and member.state is READY:
                 known.restart(member)
             else:
                 known.member = member
         # Ids are ever new where machines are replaced: what is gone is forgotten once nothing is out there.
         self.nodes = {i: n for i, n in self.nodes.items() if n.in_flight or n.member.state is not State.GONE}
         kind = self.settings.origin_kind
-        live = [n for n in self.nodes.values() if n.member.state is State.READY]
+        live = [n for n in self.nodes.values() if n.member.state is READY]
         self.origin = next((n for n in live if n.member.kind == kind), None) if kind is not None else None
         self.ready = sorted((n for n in live if kind is None or n.member.kind != kind), key=lambda n: n.id)
+        cold_ms = self.settings.rules.cold_ms
+        for node in self.nodes.values():
+            started = node.member.ready_at_ms
+            node.cold_until = started + cold_ms if started > 0 and cold_ms > 0 else -math.inf
         self.cold_until = max((n.member.ready_at_ms for n in self.ready if n.member.ready_at_ms > 0),
-                              default=-math.inf) + self.settings.rules.cold_ms
+                              default=-math.inf) + cold_ms
         self.reweigh(now)
 
     def cold(self, node: Node, now: float) -> bool:
         """Whether it started less than the stated warm-up ago."""
-        started, cold_ms = node.member.ready_at_ms, self.settings.rules.cold_ms
-        return started > 0 and cold_ms > 0 and now < started + cold_ms
+        return now < node.cold_until
 
     def warmth(self, node: Node, now: float) -> float:
         """The share of its capacity that a server has for certain, by the stated warm-up."""
@@ -301,6 +317,7 @@
             node.weight = max(node.member.size, 1e-6) * kind * self.warmth(node, now)
         self.total_weight = sum(n.weight for n in self.ready)
         self.memo.clear()
+        self.whole.clear()
 
     def tick(self, now: float) -> None:
         """Warms up cold servers and corrects the weights of kinds."""
@@ -353,6 +370,15 @@
             places = self.memo[key] = self.ranked(key, PLACES)
         return places
 
+    def all_places(self, key: str) -> list[Node]:
+        """The whole order of a key, remembered: for hot keys, which are few."""
+        places = self.whole.get(key)
+        if places is None:
+            if len(self.whole) >= WHOLE_MAX:
+                self.whole.clear()
+            places = self.whole[key] = self.ranked(key, len(self.ready))
+        return places
+
     def share(self, node: Node) -> float:
         """The part of all traffic that is due to a server."""
         return node.weight / self.total_weight if self.total_weight > 0 else 1.0
@@ -370,7 +396,7 @@
 
     def overspent(self, node: Node, now: float, rate: float) -> bool:
         """A cold server whose budget with this instance is spent: a short burst must not push it over."""
-        if not self.cold(node, now):
+        if now >= node.cold_until:
             return False
         rules, sent = self.settings.rules, node.cold_sent
         while sent and sent[0] <= now - rules.fall_ms:
@@ -380,11 +406,11 @@
 
     # -- what was seen
     def sent(self, node: Node, now: float, cls: str) -> None:
-        if cls in node.mutes:
+        if node.mutes and cls in node.mutes:
             node.mutes[cls].out += 1
         node.in_flight += 1
         self.in_flight += 1
-        if self.cold(node, now):
+        if now < node.cold_until:
             node.cold_sent.append(now)
 
     def ended(self, now: float, node: Node, outcome: Outcome, cls: RequestClass) -> None:
@@ -393,19 +419,19 @@
         self.in_flight = max(0, self.in_flight - 1)
         status = outcome.status
         self._listen(now, node, outcome, cls)
-        if status in (Status.OK, Status.ERROR, Status.FULL, Status.MISS):
+        if status in ANSWERED:
             node.answered_at = now  # whatever it says, it is alive
             node.newest = max(node.newest, now - outcome.latency_ms)
             node.fails, node.ejected_until, node.pause, node.trial = 0, 0.0, EJECT_MS, False
-        elif status is Status.CONNECT_FAILED or (
-                status in (Status.TIMEOUT, Status.RESET) and node.answered_at < now - outcome.latency_ms):
-            self._failed(now, node, status is Status.CONNECT_FAILED)
+        elif status is CONNECT_FAILED or (
+                status in (TIMEOUT, RESET) and node.answered_at < now - outcome.latency_ms):
+            self._failed(now, node, status is CONNECT_FAILED)
         ratio = 0.0
-        if status is Status.OK and outcome.hit is not False:
+        if status is OK and outcome.hit is not False:
             mean = self.class_latency.get(cls.name, outcome.latency_ms)
             self.class_latency[cls.name] = mean + SMOOTH * (outcome.latency_ms - mean)
             ratio = min(outcome.latency_ms / max(mean, 0.1), REFUSED_RATIO)
-        elif status in (Status.FULL, Status.TIMEOUT):  # else a kind that answers little in time seems fast
+        elif status in (FULL, TIMEOUT):  # else a kind that answers little in time seems fast
             ratio = REFUSED_RATIO
         if ratio:
             total = self.kind_slow.setdefault(node.member.kind, [0.0, 0.0])
@@ -419,21 +445,23 @@
         mute = node.mutes.get(cls)
         if mute is not None:
             mute.out = max(0, mute.out - 1)
-            if status in (Status.OK, Status.MISS):
+            if status in (OK, MISS):
                 mute.fails, mute.until = mute.fails - 1, 0.0
                 if mute.fails <= 0:
                     del node.mutes[cls]
-        if status in (Status.TIMEOUT, Status.CANCELLED):
+        if status in (TIMEOUT, CANCELLED):
             trial = mute is not None and mute.until > 0
             long = took > min(SECOND_AFTER * self.class_latency.get(cls, math.inf), of.aim_ms)
             if node.newest <= now - took / 2 or not (long or trial):
                 return  # a queue, or too little time to tell
-        elif status not in (Status.ERROR, Status.RESET):
+        elif status not in (ERROR, RESET):
             return
         mute = node.mutes.setdefault(cls, Mute())
         mute.fails = min(mute.fails + 1, MUTE_AFTER)
+        if mute.fails < MUTE_AFTER or mute.until > now:
+            return
         silent = sum(1 for n in self.ready if cls in n.mutes and n.mutes[cls].until > now)
-        if mute.fails >= MUTE_AFTER and mute.until <= now and silent < MUTE_SHARE * len(self.ready):
+        if silent < MUTE_SHARE * len(self.ready):
             mute.until = now + mute.pause
             mute.pause = min(mute.pause * 2, EJECT_MAX_MS)
 
@@ -443,8 +471,7 @@
         node.fails += 1
         if node.fails < SUSPECT_AFTER or node.ejected_until > now:
             return
-        silent = sum(1 for n in self.ready if n.ejected_until > now)
-        if refused or silent < QUIET_SHARE * len(self.ready):
+        if refused or sum(n.ejected_until > now for n in self.ready) < QUIET_SHARE * len(self.ready):
             node.ejected_until = now + node.pause
             node.pause = min(node.pause * 2, EJECT_MAX_MS)
             node.trial = True
@@ -473,11 +500,16 @@
         if sent is not None and not status.never_ran:
             self.may_have_run.append(sent)
 
+    def allows(self, node: Node, now: float) -> bool:
+        if node.member.state is not READY:
+            return False
+        return not self.attempts or (node not in self.tried and self.may_go(node, now))
+
     def may_go(self, node: Node, now: float) -> bool:
-        if self.cls.effect is Effect.SAFE:
+        if self.cls.effect is SAFE:
             return True
         earlier = [*self.may_have_run, *self.out.values()]
-        if self.cls.effect is Effect.UNSAFE or not earlier:
+        if self.cls.effect is UNSAFE or not earlier:
             return not earlier
         group, here = self.cls.group, node.member
         for other, sent_at in earlier:
@@ -491,7 +523,7 @@
         return True
 
     def may_refuse(self) -> bool:
-        if self.cls.effect is Effect.SAFE or not (self.may_have_run or self.out):
+        if self.cls.effect is SAFE or not (self.may_have_run or self.out):
             return True
         return self.cls.effect is Effect.KEYED and self.cls.group is Group.ALL
 
@@ -519,6 +551,8 @@
         self.started = False
         self.backoff = BACKOFF_MS
         self.actions: list[Action] = []
+        self.seconds: list[tuple[float, int]] = []  # when which request may have a second copy; a heap
+        self.seconds_at = math.inf  # the timer that is set for the first of them
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Answers one event."""
@@ -560,8 +594,8 @@
     def _timer(self, now: float, token: str) -> None:
         if token == "watch":
             self.actions.append(Watch())
-        elif token.startswith("second "):
-            self._second(now, int(token[7:]))
+        elif token == "second":
+            self._seconds(now)
         elif token == "sample":
             self.actions.append(SetTimer(now + SAMPLE_MS, "sample"))
             self._sample(now)
@@ -617,9 +651,13 @@
         width, _ = self.spread.get(request.key, (1, 0.0))
         if not self.factoring or width < 2:
             return order
-        order = fleet.ranked(request.key, len(fleet.ready))
-        warm = [n for n in order if fleet.warmth(n, now) >= 1.0]
-        head = [n for n in warm if fleet.healthy(n, now, request.cls)][:width]
+        order = fleet.all_places(request.key)
+        head: list[Node] = []
+        for node in order:
+            if fleet.warmth(node, now) >= 1.0 and fleet.healthy(node, now, request.cls):
+                head.append(node)
+                if len(head) == width:
+                    break
         if not head:
             return order
         self.turn += 1
@@ -631,21 +669,17 @@
         that is allowed."""
         fleet, cls = self.fleet, pending.cls.name
         fallback: Node | None = None
-
-        def allowed(node: Node) -> bool:
-            untried = node.member.state is State.READY and node not in pending.tried
-            return untried and pending.may_go(node, now)
-
         for node in self._candidates(now, pending.request):
-            if not allowed(node):
+            if not pending.allows(node, now):
                 continue
-            if fleet.healthy(node, now, cls) and not fleet.overspent(node, now, self.rate):
-                if not fleet.bounded(node) and not self._held_back(node):
+            if fleet.healthy(node, now, cls) and (now >= node.cold_until
+                                                  or not fleet.overspent(node, now, self.rate)):
+                if (node.in_flight < BOUND_MIN or not fleet.bounded(node)) and not self._held_back(node):
                     return node
                 fallback = fallback or node
         if fallback is not None:
             return fallback
-        rest = [n for n in fleet.ready if allowed(n)]  # the remembered places are out
+        rest = [n for n in fleet.ready if pending.allows(n, now)]  # the remembered places are out
         well = [n for n in rest if fleet.healthy(n, now, cls) and not fleet.overspent(n, now, self.rate)]
         return min(well or rest, key=lambda n: (n.in_flight, n.id)) if rest else None
 
@@ -678,9 +712,24 @@
         else:
             self._send(now, pending, self._pick(now, pending))
         usual = self.fleet.class_latency.get(cls.name)
-        if (pending.out and usual and SECOND_AFTER * usual < cls.aim_ms and cls.effect is not Effect.UNSAFE
+        if (pending.out and usual and SECOND_AFTER * usual < cls.aim_ms and cls.effect is not UNSAFE
                 and self.settings.limits.second_copies):
-            self.actions.append(SetTimer(now + SECOND_AFTER * usual, f"second {request.id}"))
+            due = now + SECOND_AFTER * usual
+            heappush(self.seconds, (due, request.id))
+            if due < self.seconds_at or now > self.seconds_at:  # the caller may have lost one or be late
+                self.seconds_at = due
+                self.actions.append(SetTimer(due, "second"))
+
+    def _seconds(self, now: float) -> None:
+        """Second copies for what has waited so long; then a timer for the first that is still in hand."""
+        queue, pending = self.seconds, self.pending
+        while queue and (queue[0][0] <= now or queue[0][1] not in pending):
+            due, number = heappop(queue)
+            if due <= now:
+                self._second(now, number)
+        self.seconds_at = queue[0][0] if queue else math.inf
+        if queue:
+            self.actions.append(SetTimer(self.seconds_at, "second"))
 
     def _second(self, now: float, request_id: int) -> None:
         """A second copy where what was sent half the wait later is served: a queue would delay both."""
@@ -699,20 +748,20 @@
         work = 1.0 if by_work else max(self.fleet.class_latency.get(cls.name, cls.aim_ms), 0.1)
         cost = work / max(cls.worth, 1e-3)
         self.mean_cost += SMOOTH * (cost - self.mean_cost) if self.mean_cost else cost
-        passing = 1 - self.throttle.pressure()
+        pressure, draw = self.throttle.pressure(), self.rng.random()
         # as a power, all classes together shed no more than the pressure, yet all of it if need be
-        return self.rng.random() >= math.pow(passing, cost / self.mean_cost)
+        return pressure > 0 and draw >= math.pow(1 - pressure, cost / self.mean_cost)
 
     def _send(self, now: float, pending: Pending, node: Node | None) -> None:
         left = pending.request.deadline - now
-        usable = node is not None and node.member.state is State.READY and pending.may_go(node, now)
+        usable = node is not None and node.member.state is READY and pending.may_go(node, now)
         if node is None or not usable or left <= 0 or pending.attempts >= self.settings.limits.max_attempts:
             self._finish(pending)
             return
         mute = node.mutes.get(pending.cls.name)
         doubtful = node.fails > 0 or (mute is not None and mute.fails >= SUSPECT_AFTER)
         suspect = doubtful and pending.attempts + 1 < self.settings.limits.max_attempts
-        timeout = left * TRIAL_SHARE if suspect and pending.cls.effect is Effect.SAFE else None
+        timeout = left * TRIAL_SHARE if suspect and pending.cls.effect is SAFE else None
         pending.out[pending.attempts] = node, now
         pending.attempts += 1
         pending.tried.append(node)
@@ -726,11 +775,11 @@
         node, _ = pending.out[outcome.attempt]
         self.fleet.ended(now, node, outcome, pending.cls)
         pending.ended(outcome.attempt, outcome.status)
-        in_time = outcome.status is Status.OK and outcome.latency_ms <= COMFORT * pending.cls.aim_ms
-        if outcome.status not in (Status.CANCELLED, Status.MOOT, Status.MISS):
+        in_time = outcome.status is OK and outcome.latency_ms <= COMFORT * pending.cls.aim_ms
+        if outcome.status not in SILENT:
             node.throttle.count(in_time)
             self.throttle.count(in_time)
-        if outcome.closed or outcome.status is Status.OK:
+        if outcome.closed or outcome.status is OK:
             pending.done = True
             self._cancel(pending)
         if not pending.done and not pending.out and not pending.streaming:
@@ -740,7 +789,7 @@
 
     def _further(self, now: float, pending: Pending, status: Status) -> None:
         """A failed attempt: one more where it can still help and the budget has room, else the answer."""
-        if status is Status.MISS:
+        if status is MISS:
             self._send(now, pending, self.fleet.origin)
             return
         if self.throttle.pressure() > 0 and not pending.request.write and not status.never_ran:
--- a/notchflow/net/exchange.py
+++ b/notchflow/net/exchange.py
@@ -11,6 +11,7 @@
 from notchflow.interface import Event, ListKind, Settings, Status
 from notchflow.net.clock import Clock
 from notchflow.net.listing import Listing
+from notchflow.net.timers import Calendar, Handle
 
 HOP_BY_HOP = frozenset({b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
                         b"transfer-encoding", b"content-length", b"proxy-authenticate",
@@ -136,7 +137,7 @@
 class Open:
     """A request in hand and its attempts."""
 
-    __slots__ = ("id", "call", "deadline", "attempts", "out", "done", "streaming", "last")
+    __slots__ = ("id", "call", "deadline", "attempts", "out", "done", "streaming", "last", "timer")
 
     def __init__(self, number: int, call: Call, deadline: float) -> None:
         self.id = number
@@ -147,6 +148,7 @@
         self.done = False
         self.streaming: Try | None = None
         self.last: Status | None = None
+        self.timer: Handle | None = None
 
 
 class Dialler(Protocol):
@@ -154,8 +156,9 @@
 
     loop: asyncio.AbstractEventLoop
     clock: Clock
+    timers: Calendar
 
-    def at(self, due: float, call: Callable[..., None], argument: Any = None) -> None: ...
+    def at(self, due: float, call: Callable[..., None], argument: Any = None) -> Handle: ...
 
     def soon(self, call: Callable[..., None], argument: Any) -> None: ...
 
@@ -184,7 +187,7 @@
     used: int
     descriptors: int
 
-    def at(self, due: float, call: Callable[..., None], argument: Any = None) -> None: ...
+    def at(self, due: float, call: Callable[..., None], argument: Any = None) -> Handle: ...
 
     def freed(self) -> None: ...
 
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -9,7 +9,6 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from heapq import heappop, heappush
 from typing import Any
 
 from notchflow.interface import (
@@ -40,6 +39,7 @@
 from notchflow.net.downstream import Front
 from notchflow.net.exchange import Answer, Call, Door, Open
 from notchflow.net.listing import Listing
+from notchflow.net.timers import Calendar, Handle
 from notchflow.net.upstream import Attempt, IdleLimit, Pool, load_report
 
 log = logging.getLogger(__name__)
@@ -72,8 +72,7 @@
         self.pools: dict[int, Pool] = {}
         self.inbox: deque[Event] = deque()
         self.telling = False
-        self.timers: list[tuple[float, int, Callable[..., None], Any]] = []
-        self.timer_count = 0
+        self.timers = Calendar()
         self.armed: asyncio.TimerHandle | None = None
         self.armed_for = float("inf")
         self.descriptors = max(config.sockets - RESERVED, 8)
@@ -139,12 +138,12 @@
             front.sweep(now)
 
     # -- time
-    def at(self, due: float, call: Callable[..., None], argument: Any = None) -> None:
-        """Calls back at a time, never before. What is no longer of interest is simply ignored then."""
-        self.timer_count += 1
-        heappush(self.timers, (due, self.timer_count, call, argument))
+    def at(self, due: float, call: Callable[..., None], argument: Any = None) -> Handle:
+        """Calls back at a time, never before, unless `timers.cancel` is given the handle."""
+        handle = self.timers.set(due, call, argument)
         if due < self.armed_for:
             self._arm(due)
+        return handle
 
     def soon(self, call: Callable[..., None], argument: Any) -> None:
         self.loop.call_soon(call, argument)
@@ -161,16 +160,15 @@
             # The loop was busy: answers may be waiting in the kernel, and nodes must not be blamed for that.
             self.armed = self.loop.call_later(0.001, self._run_timers, due, True)
             return
-        timers = self.timers
-        while timers and timers[0][0] <= now:
-            _, _, call, argument = heappop(timers)
+        for call, argument in self.timers.due(now):
             try:
                 call(argument)
             except Exception:
                 log.exception("a timer failed")
         self.armed, self.armed_for = None, float("inf")
-        if timers:
-            self._arm(timers[0][0])
+        following = self.timers.next_due()
+        if following < self.armed_for:
+            self._arm(following)
 
     # -- budgets
     def descriptor(self) -> bool:
@@ -261,7 +259,7 @@
         attempt = Attempt(self, item, attempt_number, node, pool, now, expires)
         item.out[attempt_number] = attempt
         if expires < item.deadline:
-            self.at(expires, self._expire, attempt)
+            attempt.timer = self.at(expires, self._expire, attempt)
         pool.send(attempt)
 
     def _expire(self, attempt: Attempt) -> None:
@@ -300,7 +298,7 @@
             self._fail(item)
             return
         self.open[item.id] = item
-        self.at(item.deadline, self._deadline, item.id)  # not the request: its timer outlives most of them
+        item.timer = self.at(item.deadline, self._deadline, item.id)
         self.tell(Request(item.id, cls, item.deadline, **more))
 
     def _deadline(self, number: int) -> None:
@@ -357,8 +355,10 @@
         ended = answer.begun_at if answer is not None else self.clock.turn()
         hit = answer.fields.get(b"x-hit") if answer is not None else None
         load = load_report(answer, self.config.report_fields) if answer is not None else None
+        if attempt.timer is not None:
+            self.timers.cancel(attempt.timer)
         if item.done and not item.out:
-            self.open.pop(item.id, None)
+            self._forget(item)
         self.tell(Outcome(item.id, attempt.number, attempt.node, status, max(ended - attempt.begun_at, 0.0),
                           item.done, None if hit is None else hit == b"hit", load))
 
@@ -371,4 +371,10 @@
     def _end(self, item: Open) -> None:
         item.done = True
         if not item.out:
-            self.open.pop(item.id, None)
+            self._forget(item)
+
+    def _forget(self, item: Open) -> None:
+        """Nothing is owed and nothing is out: its deadline matters no more."""
+        self.open.pop(item.id, None)
+        if item.timer is not None:
+            self.timers.cancel(item.timer)
--- a/notchflow/net/upstream.py
+++ b/notchflow/net/upstream.py
@@ -14,6 +14,7 @@
 from notchflow import wire
 from notchflow.interface import Status
 from notchflow.net.exchange import HOP_BY_HOP, Answer, Dialler, Open
+from notchflow.net.timers import Handle
 
 log = logging.getLogger(__name__)
 
@@ -275,7 +276,7 @@
         self.connect_ms = connect_ms
         self.limit = limit
         self.idle: list[Connection] = []
-        self.dials: dict[Connection, tuple[asyncio.Task[None], Exchange]] = {}
+        self.dials: dict[Connection, tuple[asyncio.Task[None], Exchange, Handle]] = {}
         self.retired = False
 
     def send(self, exchange: Exchange) -> None:
@@ -293,8 +294,8 @@
             return
         connection = Connection(self)
         task = self.host.loop.create_task(self._dial(connection))
-        self.dials[connection] = task, exchange
-        self.host.at(now + self.connect_ms, self._overdue, connection)
+        timer = self.host.at(now + self.connect_ms, self._overdue, connection)
+        self.dials[connection] = task, exchange, timer
 
     async def _dial(self, connection: Connection) -> None:
         try:
@@ -313,6 +314,7 @@
     def _undone(self, connection: Connection) -> None:
         dial = self.dials.pop(connection, None)
         if dial is not None:
+            self.host.timers.cancel(dial[2])
             dial[1].failed(False)
 
     def _uncount(self, connection: Connection) -> None:
@@ -326,12 +328,14 @@
         if dial is None:
             connection.close()
         else:
+            self.host.timers.cancel(dial[2])
             connection.start(dial[1])
 
     def give_up(self, exchange: Exchange) -> None:
-        for connection, (task, waiting) in self.dials.items():
+        for connection, (task, waiting, timer) in self.dials.items():
             if waiting is exchange:
                 del self.dials[connection]
+                self.host.timers.cancel(timer)
                 task.cancel()
                 return
 
@@ -357,7 +361,7 @@
 
     def undial(self) -> None:
         """What waits for a connection goes elsewhere: it must not begin at a node that has begun to drain."""
-        for connection, (task, _) in list(self.dials.items()):
+        for connection, (task, _, _) in list(self.dials.items()):
             task.cancel()
             self._undone(connection)
 
@@ -379,7 +383,7 @@
     """One attempt at a node. It ends once, with the outcome that the facts prove."""
 
     __slots__ = ("host", "open", "number", "node", "pool", "begun_at", "expires_at", "connection", "over",
-                 "started", "hold_max")
+                 "started", "hold_max", "timer")
 
     def __init__(self, host: Courier, item: Open, number: int, node: int, pool: Pool, now: float,
                  expires: float) -> None:
@@ -389,6 +393,7 @@
         self.connection: Connection | None = None
         self.over = self.started = False
         self.hold_max = HOLD_MAX
+        self.timer: Handle | None = None
 
     def chunks(self) -> list[bytes]:
         """The request as it goes out; its budget is what this attempt has left."""
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -1,8 +1,8 @@
 """The module decides today what it decided before its hot path was made faster.
 
 A small world of servers, clients and faults, all drawn from one seed, drives the module event by event; what
-it sends, cancels, refuses and fails is compared, in blocks of a hundred, with what the module of commit 0a6859d
-did in the same world. `python -m tests.test_trace` prints the record of the code as it is.
+it sends, cancels, refuses and fails is compared, in blocks of a hundred, with what the module of commit
+0a6859d did in the same world. `python -m tests.test_trace` prints the record of the code as it is.
 """
 
 from __future__ import annotations
@@ -94,7 +94,7 @@
         self.balancer = Balancer(settings, seed=seed, now=0.0)
         self.settings = settings
         self.heap: list[tuple[float, int, Any]] = []
-        self.count = 0
+        self.count = self.numbers = 0
         self.now = 0.0
         self.scene = SCENES[0]
         self.members = {i: Member(1000 + 7919 * i, kind="ml"[i % 2], zone="ab"[i % 2], cell=i % 4,
@@ -154,7 +154,8 @@
             self.tell(Membership(kind, tuple(members.values()), 2))
 
     def ask(self) -> None:
-        rng, number = self.rng, len(self.lines) * 1000 + self.count
+        self.numbers += 1
+        rng, number = self.rng, self.numbers
         cls = rng.choices(["read", "list", "pay", "keyed", "celled", "unheard"], [60, 15, 8, 8, 8, 1])[0]
         name: str | None = key(rng.randrange(300))
         if rng.random() < self.scene.hot:
