Decide for the usual request in fewer steps

The usual request meets no fault, no mute class, no cold box and no pressure; each of these is now asked for once and cheaply.

--- a/notchflow/logic.py
+++ b/notchflow/logic.py
@@ -387,6 +387,8 @@
         """Not ejected, not mute for this class, and no trial of one that was is out."""
         if node.ejected_until > now or (node.trial and node.in_flight > 0):
             return False
+        if not node.mutes:
+            return True
         mute = node.mutes.get(cls)
         return mute is None or not mute.bars(now)
 
@@ -496,16 +498,16 @@
     def __init__(self, request: Request, cls: RequestClass) -> None:
         self.request, self.cls = request, cls
         self.out: dict[int, tuple[Node, float]] = {}
-        self.tried: list[Node] = []
-        self.may_have_run: list[tuple[Node, float]] = []
+        self.tried: tuple[Node, ...] = ()
+        self.may_have_run: tuple[tuple[Node, float], ...] = ()
         self.attempts = 0
         self.done = False
         self.streaming = False
 
     def ended(self, attempt: int, status: Status) -> None:
-        sent = self.out.pop(attempt, None)
-        if sent is not None and not status.never_ran:
-            self.may_have_run.append(sent)
+        sent = self.out.pop(attempt)
+        if not status.never_ran:
+            self.may_have_run = *self.may_have_run, sent
 
     def allows(self, node: Node, now: float) -> bool:
         if node.member.state is not READY:
@@ -540,6 +542,9 @@
 
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
         self.settings = settings
+        self.aside = settings.origin_kind is not None
+        self.by_work = settings.worth_by_work
+        self.second_copies, self.max_attempts = settings.limits.second_copies, settings.limits.max_attempts
         self.rng = random.Random(seed)
         self.classes = {c.name: c for c in settings.classes}
         self.fleet = Fleet(settings)
@@ -563,12 +568,18 @@
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Answers one event."""
-        self.actions = []
+        actions: list[Action] = []
+        self.actions = actions
+        if isinstance(event, Request):
+            self._request(now, event)
+        elif isinstance(event, Outcome):
+            self._outcome(now, event)
+        else:
+            self._other(now, event)
+        return actions
+
+    def _other(self, now: float, event: Event) -> None:
         match event:
-            case Request():
-                self._request(now, event)
-            case Outcome():
-                self._outcome(now, event)
             case Membership():
                 self._membership(now, event)
             case Timer(token):
@@ -579,7 +590,6 @@
                 if request in self.pending:
                     self.pending[request].streaming = True
                     self._cancel(self.pending[request], attempt)
-        return self.actions
 
     # -- the list of servers
     def _membership(self, now: float, event: Membership) -> None:
@@ -654,9 +664,11 @@
         if request.key is None:
             pair = self.rng.sample(fleet.ready, min(2, len(fleet.ready)))
             return [*sorted(pair, key=lambda n: n.in_flight / max(n.weight, 1e-9)), *fleet.ready]
-        order = fleet.order(request.key)
+        order = fleet.memo.get(request.key) or fleet.order(request.key)
+        if not self.factoring:
+            return order
         width, _ = self.spread.get(request.key, (1, 0.0))
-        if not self.factoring or width < 2:
+        if width < 2:
             return order
         order = fleet.all_places(request.key)
         head: list[Node] = []
@@ -703,26 +715,28 @@
         if cls is None:  # no work comes of it: it says nothing of load, nor of what is asked for
             self.actions.append(Refuse(request.id))
             return
-        if request.id in self.pending:
+        number, key = request.id, request.key
+        if number in self.pending:
             return
         self.arrivals += 1
-        if request.key is not None:
-            self.topk.observe(request.key)
-        pending = self.pending[request.id] = Pending(request, cls)
+        if key is not None:
+            self.topk.observe(key)
+        pending = self.pending[number] = Pending(request, cls)
         if self._shed(request, cls):
             self.throttle.count(False)
             self._finish(pending)
             return
-        self.retries = min(self.retries + RETRY_SHARE, RETRY_SAVED)  # shed ones must earn no retries in a jam
-        if self.settings.origin_kind is not None and request.write:
+        if self.retries < RETRY_SAVED:  # shed ones must earn no retries in a jam
+            self.retries = min(self.retries + RETRY_SHARE, RETRY_SAVED)
+        if self.aside and request.write:
             self._send(now, pending, self.fleet.origin)
         else:
             self._send(now, pending, self._pick(now, pending))
         usual = self.fleet.class_latency.get(cls.name)
-        if (pending.out and usual and SECOND_AFTER * usual < cls.aim_ms and cls.effect is not UNSAFE
-                and self.settings.limits.second_copies):
+        if (self.second_copies and pending.out and usual and SECOND_AFTER * usual < cls.aim_ms
+                and cls.effect is not UNSAFE):
             due = now + SECOND_AFTER * usual
-            heappush(self.seconds, (due, request.id))
+            heappush(self.seconds, (due, number))
             if due < self.seconds_at or now > self.seconds_at:  # the caller may have lost one or be late
                 self.seconds_at = due
                 self.actions.append(SetTimer(due, "second"))
@@ -746,34 +760,35 @@
         if pending is None or pending.done or pending.streaming or len(pending.out) != 1 or self.retries < 1:
             return
         (first, sent_at), = pending.out.values()
-        more = pending.attempts < self.settings.limits.max_attempts and self.throttle.pressure() <= 0
+        more = pending.attempts < self.max_attempts and self.throttle.pressure() <= 0
         node = self._pick(now, pending) if more and first.newest > (sent_at + now) / 2 else None
         if node is not None:
             self.retries -= 1
             self._send(now, pending, node)
 
     def _shed(self, request: Request, cls: RequestClass) -> bool:
-        by_work = self.settings.worth_by_work
-        work = 1.0 if by_work else max(self.fleet.class_latency.get(cls.name, cls.aim_ms), 0.1)
-        cost = work / max(cls.worth, 1e-3)
+        work = 1.0 if self.by_work else self.fleet.class_latency.get(cls.name, cls.aim_ms)
+        cost = (work if work > 0.1 else 0.1) / (cls.worth if cls.worth > 1e-3 else 1e-3)
         self.mean_cost += SMOOTH * (cost - self.mean_cost) if self.mean_cost else cost
         pressure, draw = self.throttle.pressure(), self.rng.random()
         # as a power, all classes together shed no more than the pressure, yet all of it if need be
         return pressure > 0 and draw >= math.pow(1 - pressure, cost / self.mean_cost)
 
     def _send(self, now: float, pending: Pending, node: Node | None) -> None:
-        left = pending.request.deadline - now
-        usable = node is not None and node.member.state is READY and pending.may_go(node, now)
-        if node is None or not usable or left <= 0 or pending.attempts >= self.settings.limits.max_attempts:
+        left, attempts = pending.request.deadline - now, pending.attempts
+        if (node is None or left <= 0 or attempts >= self.max_attempts or node.member.state is not READY
+                or (attempts and not pending.may_go(node, now))):
             self._finish(pending)
             return
-        mute = node.mutes.get(pending.cls.name)
-        doubtful = node.fails > 0 or (mute is not None and mute.fails >= SUSPECT_AFTER)
-        suspect = doubtful and pending.attempts + 1 < self.settings.limits.max_attempts
-        timeout = left * TRIAL_SHARE if suspect and pending.cls.effect is SAFE else None
-        pending.out[pending.attempts] = node, now
-        pending.attempts += 1
-        pending.tried.append(node)
+        timeout = None
+        if node.fails or node.mutes:
+            mute = node.mutes.get(pending.cls.name)
+            doubtful = node.fails > 0 or (mute is not None and mute.fails >= SUSPECT_AFTER)
+            if doubtful and attempts + 1 < self.max_attempts and pending.cls.effect is SAFE:
+                timeout = left * TRIAL_SHARE
+        pending.out[attempts] = node, now
+        pending.attempts = attempts + 1
+        pending.tried = *pending.tried, node
         self.fleet.sent(node, now, pending.cls.name)
         self.actions.append(Send(pending.request.id, node.id, timeout))
 
@@ -781,18 +796,19 @@
         pending = self.pending.get(outcome.id)
         if pending is None or outcome.attempt not in pending.out:
             return
-        node, _ = pending.out[outcome.attempt]
+        node, status = pending.out[outcome.attempt][0], outcome.status
         self.fleet.ended(now, node, outcome, pending.cls)
-        pending.ended(outcome.attempt, outcome.status)
-        in_time = outcome.status is OK and outcome.latency_ms <= COMFORT * pending.cls.aim_ms
-        if outcome.status not in SILENT:
+        pending.ended(outcome.attempt, status)
+        if status not in SILENT:
+            in_time = status is OK and outcome.latency_ms <= COMFORT * pending.cls.aim_ms
             node.throttle.count(in_time)
             self.throttle.count(in_time)
-        if outcome.closed or outcome.status is OK:
+        if status is OK or outcome.closed:
             pending.done = True
-            self._cancel(pending)
-        if not pending.done and not pending.out and not pending.streaming:
-            self._further(now, pending, outcome.status)
+            if pending.out:
+                self._cancel(pending)
+        elif not pending.done and not pending.out and not pending.streaming:
+            self._further(now, pending, status)
         if pending.done and not pending.out:
             self.pending.pop(outcome.id, None)
 
@@ -811,7 +827,7 @@
             self._finish(pending)
             return
         self.retries -= 0 if status.never_ran else 1
-        if self.settings.origin_kind is not None and pending.request.write:
+        if self.aside and pending.request.write:
             self._finish(pending)
             return
         self._send(now, pending, self._pick(now, pending))
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -44,6 +44,7 @@
 
 log = logging.getLogger(__name__)
 
+OK = Status.OK  # looked up for every request
 LATE_MS = 2.0
 SWEEP_MS = 500.0
 STALL_MS = 2_000.0
@@ -300,7 +301,9 @@
         if budget_ms is None:
             budget_ms = self.classes.get(cls, self.longest_ms)
         self.numbers = number = self.numbers + 1
-        deadline = min(call.arrived_at + budget_ms, self.answer_by)
+        deadline = call.arrived_at + budget_ms
+        if deadline > self.answer_by:
+            deadline = self.answer_by
         call.open = item = Open(number, call, deadline)
         if deadline <= self.clock.now():
             item.last = Status.TIMEOUT
@@ -352,13 +355,13 @@
         item.out.pop(attempt.number, None)
         item.last = status
         if not item.done:
-            client, call = item.call.client, item.call
+            call = item.call
             if attempt.started:
-                self._end(item)
-                client.end_stream(call, status is Status.OK)
-            elif answer is not None and status is Status.OK:
-                self._end(item)
-                client.serve(call, answer)
+                item.done = True
+                call.client.end_stream(call, status is OK)
+            elif answer is not None and status is OK:
+                item.done = True
+                call.client.serve(call, answer)
         if item.streaming is attempt:
             item.streaming = None  # else the two would keep one another until the collector comes
         hit = load = None
@@ -372,7 +375,8 @@
             self.timers.cancel(attempt.timer)
         if item.done and not item.out:
             self._forget(item)
-        self.tell(Outcome(item.id, attempt.number, attempt.node, status, max(ended - attempt.begun_at, 0.0),
+        took = ended - attempt.begun_at
+        self.tell(Outcome(item.id, attempt.number, attempt.node, status, took if took > 0.0 else 0.0,
                           item.done, None if hit is None else hit == b"hit", load))
 
     def _fail(self, item: Open) -> None:
--- a/notchflow/net/upstream.py
+++ b/notchflow/net/upstream.py
@@ -18,6 +18,8 @@
 
 log = logging.getLogger(__name__)
 
+OK = Status.OK  # looked up for every request
+
 HOLD_MAX = 64 << 10  # bytes of an answer held whole, so that a broken one can be retried; more is streamed
 HEAD_MAX = 32 << 10
 LENGTH_MAX = 32 << 20  # no value is so long: who announces more is spoilt, and another node may still serve
@@ -48,10 +50,9 @@
         self.faded_at = 0.0
 
     def count(self, age: float | None, broken: bool) -> None:
-        step = 0 if age is None else bisect_right(AGES_MS, age)
-        self.uses[step] += 1
+        self.uses[0 if age is None else bisect_right(AGES_MS, age)] += 1
         if broken:
-            self.breaks[step] += 1
+            self.breaks[0 if age is None else bisect_right(AGES_MS, age)] += 1
             self._judge()
 
     def fade(self, now: float) -> None:
@@ -447,11 +448,12 @@
 
 
 def _status(answer: Answer, sent: bool) -> Status:
+    if answer.code == 200 and sent:
+        return OK
     if answer.code in (503, 504) and answer.fields.get(b"x-rejected") == b"1":
         return Status.FULL
     if answer.code == 200:
-        # Before the request was written whole, a 200 cannot be its answer.
-        return Status.OK if sent else Status.RESET
+        return Status.RESET  # before the request was written whole, this cannot be its answer
     return Status.ERROR
 
 
