--- a/notchflow/__main__.py
+++ b/notchflow/__main__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import logging
 import os
 import signal
@@ -12,6 +11,7 @@
 import uvloop
 
 from notchflow import logs
+from notchflow.net.collector import settle
 from notchflow.net.config import ConfigError, load, reload
 from notchflow.net.host import Host
 
@@ -47,8 +47,7 @@
     except OSError as error:
         print(f"notchflow: cannot listen on {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
         return 1
-    gc.collect()
-    gc.freeze()  # the program itself stays: collections, which stop the loop, need not walk it again
+    settle()
     loop.run_forever()
     return 0
 
--- a/notchflow/hosting/service.py
+++ b/notchflow/hosting/service.py
@@ -5,7 +5,6 @@
 import asyncio
 import concurrent.futures
 import contextlib
-import gc
 import logging
 import os
 import secrets
@@ -25,6 +24,7 @@
 from notchflow.hosting.file import FileFaults, OperatorFile, load
 from notchflow.hosting.schema import EFFECTS, AdminModel
 from notchflow.interface import ListKind, State
+from notchflow.net.collector import settle
 from notchflow.net.config import Config
 from notchflow.net.host import Host
 from notchflow.net.listing import Listing, parse_address
@@ -172,8 +172,7 @@
         apply(self.directory, self.db.live_keys())
         self.host.start()
         self.admin.start()
-        gc.collect()
-        gc.freeze()  # ten thousand tenants stay: collections need not walk them again
+        settle()  # ten thousand tenants stay
         self.flushing = self.loop.call_later(USED_EVERY_S, self._flush)
         log.info("serving %d tenants on %s, administration on %s", len(self.directory.entries),
                  ", ".join(entry.address for entry in self.file.listeners), self.file.admin.address)
--- a/notchflow/logic.py
+++ b/notchflow/logic.py
@@ -110,21 +110,32 @@
         if key in self.historical:
             self.historical[key] += 1
             return
-        fifo = self.fifo
-        if fifo:
-            n, draw = len(fifo), self.rng.random
-            draws = min(n, COMPARISONS)
+        fifo, held = self.fifo, self.held
+        entries, here = len(fifo), held.get(key, 0)
+        if entries:
+            draws = entries if entries < COMPARISONS else COMPARISONS
             self.compared += draws
-            if key in self.held:
-                matches = sum([fifo[int(draw() * n)] == key for _ in range(draws)])
+            if here:
+                matches = self._matches(draws, here / entries)
                 if matches:
                     self.counters[key] = self.counters.get(key, 0.0) + matches
-            else:  # nothing can match: the generator moves on as if by so many draws, of 64 bits each
-                self.rng.getrandbits(64 * draws)
         fifo.append(key)
-        self.held[key] = self.held.get(key, 0) + 1
-        if len(fifo) > self.capacity:
-            self._forget(len(fifo) - self.capacity)
+        held[key] = here + 1
+        if entries >= self.capacity:
+            self._forget(entries + 1 - self.capacity)
+
+    def _matches(self, draws: int, share: float) -> int:
+        """How many of so many entries drawn at random, with replacement, are a key that has this share of
+        them: binomial, found by inversion from one number of the generator instead of one a draw."""
+        if share >= 1:
+            return draws
+        left, odds = self.rng.random(), share / (1 - share)
+        likely, matches = (1 - share) ** draws, 0
+        while left >= likely and matches < draws:
+            left -= likely
+            likely *= odds * (draws - matches) / (matches + 1)
+            matches += 1
+        return matches
 
     def _forget(self, count: int) -> None:
         held = self.held
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -44,6 +44,7 @@
     Timer,
     Watch,
 )
+from notchflow.logic import COMPARISONS, FastTopK
 from tests.helpers import key
 
 RECORD = Path(__file__).parent / "trace.json"
@@ -86,12 +87,32 @@
 )
 
 
+class DrawByDraw(FastTopK):
+    """The comparisons as that commit made them, one number of the generator for each: the only thing that
+    has changed since is that their count is drawn by one (tests/test_mechanism.py has its law)."""
+
+    def observe(self, key: str) -> None:
+        self.seen += 1
+        if key in self.historical:
+            self.historical[key] += 1
+            return
+        entries = len(self.fifo)
+        draws = min(entries, COMPARISONS)
+        self.compared += draws
+        matches = sum([self.fifo[int(self.rng.random() * entries)] == key for _ in range(draws)])
+        if matches:
+            self.counters[key] = self.counters.get(key, 0.0) + matches
+        self.fifo.append(key)
+        del self.fifo[: max(entries + 1 - self.capacity, 0)]
+
+
 class World:
     """Events in order of time; every draw of the world is its own, never the module's."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.rng = random.Random(seed)
         self.balancer = Balancer(settings, seed=seed, now=0.0)
+        self.balancer.topk = DrawByDraw(self.balancer.rng)
         self.settings = settings
         self.heap: list[tuple[float, int, Any]] = []
         self.count = self.numbers = 0
