Leave nothing of a dial that was given up; a hundred thousand requests show it

A run of all kinds of requests at once (resets, errors, refusals, time-outs, departures, second copies, streams, bodies, pipelining) found what single kinds had not: a connection whose dial was cancelled after it was made is never told that it is lost, and kept itself through its parser.

--- a/notchflow/net/upstream.py
+++ b/notchflow/net/upstream.py
@@ -119,7 +119,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=0)  # so resume_writing tells that the last byte has gone
-        self.parser = HttpResponseParser(self)
         self.pool.opened(self)
 
     def resume_writing(self) -> None:
@@ -161,6 +160,8 @@
     # -- the exchange
     def start(self, exchange: Exchange, now: float, age: float | None = None) -> None:
         assert self.transport is not None
+        if self.parser is None:
+            self.parser = HttpResponseParser(self)
         self.begun_at, self.age = now, age
         self.exchange, exchange.connection = exchange, self
         self.answer = Answer()
@@ -327,6 +328,7 @@
         dial = self.dials.pop(connection, None)
         if dial is None:
             connection.close()
+            connection.transport = None  # that it is lost is not told where the dial was cancelled
         else:
             self.host.timers.cancel(dial[2])
             connection.start(dial[1], self.host.clock.now())
--- a/tests/test_collector.py
+++ b/tests/test_collector.py
@@ -4,11 +4,16 @@
 
 import asyncio
 import gc
+import itertools
+import os
+import random
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
 
 import pytest
 
+from notchflow.interface import Outcome, Status, StreamStarted
 from tests.rig import Rig, Script, Seen, answer, run, serve_value, until
 
 ROUNDS = 60
@@ -86,3 +91,86 @@
             assert not left
 
     run(test())
+
+
+async def by_kind(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    """Does what the request's X-Kind says; a hang is one only for the first copy of a request."""
+    kind, call = seen.headers["x-kind"], seen.headers["x-call-id"]
+    if kind in ("hang", "time out") and (call not in hung or kind == "time out"):
+        hung.add(call)
+        return
+    hung.discard(call)
+    await {"reset": reset, "error": err, "turn away": turn_away, "long": long_answer}.get(kind, serve_value)(
+        seen, writer)
+
+
+hung: set[str] = set()
+MIX = [("served", 200), ("reset", 2), ("error", 2), ("turn away", 2), ("long", 3), ("hang", 4),
+       ("time out", 1), ("leave", 4), ("unheard", 3), ("put", 6), ("body", 4), ("pipeline", 4)]
+
+
+async def mixed_client(rig: Rig, rng: random.Random, numbers: Iterator[int], seen: Counter[str]) -> None:
+    """Asks for one kind after the other, on a new connection wherever the last one ended."""
+    client = await rig.connect()
+    for number in numbers:
+        kind = rng.choices([k for k, _ in MIX], [n for _, n in MIX])[0]
+        fields: dict[str, Any] = {
+            "X_Kind": kind, "X_Call_Id": f"{number:016x}", "path": f"/api/{number % 500:016x}",
+            "X_Call_Class": "unheard" if kind == "unheard" else "read",
+            "X_Budget": "0.01" if kind == "time out" else "0.4"}
+        if kind in ("put", "body"):
+            client.send("PUT", body=b"v" * (200 if kind == "put" else 100_000), **fields)
+        else:
+            client.send(**fields)
+        if kind == "leave":
+            client.reset()
+            seen["left"] += 1
+        else:
+            if kind == "pipeline":
+                client.send(**fields)
+                await client.receive()
+            got = await client.receive()
+            seen["lost" if got is None else f"{kind}: {got.status}"] += 1
+            if got is not None and got.headers.get("connection") != "close":
+                continue
+        client.writer.transport.abort()
+        rig.clients.remove(client)
+        client = await rig.connect()
+
+
+def test_a_mix_of_all_kinds_leaves_nothing_for_the_collector() -> None:
+    """3,000 requests; as many as NOTCHFLOW_REQUESTS says where it is set (the full run is 100,000)."""
+    count, clients = int(os.environ.get("NOTCHFLOW_REQUESTS", "3000")), 16
+
+    async def test() -> None:
+        async with Rig(by_kind, by_kind, by_kind) as rig:
+            streams, outcomes = rig.told(StreamStarted), rig.told(Outcome)
+            seen, numbers = Counter[str](), iter(range(count))
+            await asyncio.gather(*(
+                mixed_client(rig, random.Random(i), itertools.islice(numbers, 20), Counter())
+                for i in range(clients)))
+            gc.collect()
+            gc.disable()
+            gc.set_debug(gc.DEBUG_SAVEALL)
+            try:
+                await asyncio.gather(*(mixed_client(rig, random.Random(i), numbers, seen)
+                                       for i in range(clients)))
+                await until(lambda: not rig.host.open)
+                assert rig.host.held == 0, "no body is counted for good"
+                assert len(rig.host.timers) < 20, "no request's timer stays"
+                assert not rig.host.balancer.pending and rig.host.balancer.fleet.in_flight == 0
+                gc.collect()
+                left = Counter(type(o).__qualname__ for o in gc.garbage
+                               if type(o).__module__.startswith("notchflow"))
+            finally:
+                gc.set_debug(0)
+                gc.garbage.clear()
+                gc.enable()
+            statuses = Counter(o.status for o in outcomes)
+            assert not left
+            assert streams and seen["left"] and seen["unheard: 503"] and not seen["lost"]
+            assert not {Status.OK, Status.ERROR, Status.FULL, Status.RESET, Status.TIMEOUT,
+                        Status.CANCELLED} - statuses.keys()
+            assert any(o.attempt > 0 and o.status is Status.OK for o in outcomes), "second copies served"
+
+    run(test(), patience_s=60.0 + count / 200)
