Console, figures, standby, and clients accepted from an inherited socket

The second process of a replacement ended with 1, as it bound the clients' address; there was no console, so that a drain was never heard of and no figure could be read.

--- a/notchflow/logic.py
+++ b/notchflow/logic.py
@@ -607,6 +607,13 @@
             self._other(now, event)
         return actions
 
+    def listed(self, now: float) -> tuple[int, int]:
+        """How many servers the list names, and how many of them get no requests now: they drain, are ejected
+        until later, or are still on trial."""
+        known = [n for n in self.fleet.nodes.values() if n.member.state is not State.GONE]
+        avoided = sum(n.member.state is not READY or not self.fleet.healthy(n, now) for n in known)
+        return len(known), avoided
+
     def _other(self, now: float, event: Event) -> None:
         match event:
             case Membership():
--- a/notchflow/net/config.py
+++ b/notchflow/net/config.py
@@ -34,6 +34,8 @@
     memory_mb: float = MEMORY_MB
     sockets: int = SOCKETS
     also_listen: tuple[Address, ...] = ()
+    console: Address | None = None  # where operators call; none: there is no console
+    accept_fd: int | None = None  # the clients' listening socket, where it is inherited
 
 
 def load(env: Mapping[str, str]) -> Config:
@@ -65,6 +67,7 @@
     settings, report_fields = wire.decode_settings(json.dumps(data.get("settings")))
     limits = data.get("limits") or {}  # the platform kills over the one and refuses sockets over the other
     seed = data.get("seed", 0)
+    console, accept_fd = env.get("ROUTER_CONSOLE") or data.get("console"), env.get("ROUTER_ACCEPT_FD")
     return Config(
         name=str(env.get("ROUTER_NAME") or data.get("name") or ""),
         listen=parse_address(env.get("ROUTER_LISTEN") or data.get("listen")),
@@ -73,4 +76,6 @@
         settings=settings, report_fields=report_fields,
         known=decode_listing(data["known"]) if data.get("known") else Listing(0, True, (), {}),
         conn_idle_ms=float((data["settings"].get("Limits") or {}).get("ConnIdleMs", CONN_IDLE_MS)),
-        memory_mb=float(limits.get("memory_mb", MEMORY_MB)), sockets=int(limits.get("sockets", SOCKETS)))
+        memory_mb=float(limits.get("memory_mb", MEMORY_MB)), sockets=int(limits.get("sockets", SOCKETS)),
+        console=parse_address(console) if console else None,
+        accept_fd=int(accept_fd) if accept_fd else None)
--- /dev/null
+++ b/notchflow/net/console.py
@@ -0,0 +1,188 @@
+"""The console: operators' calls over HTTP/1.1, one on each connection, answered whatever the load."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from typing import Any, Final, Protocol, cast
+
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+
+from notchflow.net.clock import Clock
+from notchflow.net.exchange import Reply
+
+log = logging.getLogger(__name__)
+
+CALLERS_MAX: Final = 24  # descriptors set aside for them: nobody else's run out, and theirs not by others
+BACKLOG: Final = 256
+CALL_MAX: Final = 8 << 10  # bytes of one call, with its head
+DUE_MS: Final = 2_000.0  # a call that has not come whole by then is no call
+ACCEPTS: Final = 16  # a turn
+TEXT: Final = (b"Content-Type: text/plain; version=0.0.4; charset=utf-8\r\n",)
+REASONS: Final = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+                  408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
+                  503: b"Service Unavailable"}
+STATUS, METRICS, STANDBY, ACTIVE = "/status", "/status/metrics", "/standby", "/active"
+METHODS: Final = {STATUS: "GET", METRICS: "GET", STANDBY: "POST", ACTIVE: "POST"}
+
+
+class Operated(Protocol):
+    """What the console asks of the proxy."""
+
+    loop: asyncio.AbstractEventLoop
+    clock: Clock
+
+    def serving(self) -> bool:
+        """Whether this process takes clients: from its start on until it is told to end."""
+
+    def standby(self) -> bool:
+        """Sends clients away; whether that is done now."""
+
+    def active(self) -> bool:
+        """Back to work; whether that is done now."""
+
+    def report(self) -> str:
+        """The figures."""
+
+
+def answer(operated: Operated, method: str, path: str) -> Reply:
+    """What a call is answered with, after it is carried out."""
+    allowed = METHODS.get(path)
+    if allowed is None:
+        return Reply(404, TEXT, f"no such call; there are {', '.join(METHODS)}\n".encode())
+    if method != allowed:
+        return Reply(405, (f"Allow: {allowed}\r\n".encode(),), b"")
+    if path == METRICS:
+        return Reply(200, TEXT, operated.report().encode())
+    if path == STATUS:
+        done, no = operated.serving(), 503
+    else:
+        done, no = operated.standby() if path == STANDBY else operated.active(), 409
+    return Reply(200, TEXT, b"yes\n") if done else Reply(no, TEXT, b"no: not ready, or told to end\n")
+
+
+class Caller(asyncio.Protocol):
+    """One caller's connection."""
+
+    def __init__(self, console: Console) -> None:
+        self.console = console
+        self.transport: asyncio.Transport | None = None
+        self.parser: HttpRequestParser | None = None
+        self.url = b""
+        self.size = 0
+        self.since = 0.0
+        self.answered = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.parser = HttpRequestParser(self)
+        self.since = self.console.operated.clock.now()
+        self.console.callers[self] = None
+
+    def data_received(self, data: bytes) -> None:
+        if self.answered or self.parser is None:
+            return
+        self.size += len(data)
+        try:
+            self.parser.feed_data(data)
+        except HttpParserUpgrade:
+            pass  # the call itself came whole
+        except HttpParserError:
+            self.reply(Reply(400))
+        if self.size > CALL_MAX:
+            self.reply(Reply(413))
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_message_complete(self) -> None:
+        if self.answered or self.parser is None:
+            return
+        path = self.url.partition(b"?")[0].decode("latin-1")
+        try:
+            self.reply(answer(self.console.operated, self.parser.get_method().decode(), path))
+        except Exception:
+            log.exception("a call failed")
+            self.reply(Reply(503))
+
+    def reply(self, reply: Reply) -> None:
+        """The one answer, and the end of the connection."""
+        if self.answered or self.transport is None:
+            return
+        self.answered = True
+        self.transport.write(b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\nConnection: close\r\n\r\n%b" % (
+            reply.status, REASONS[reply.status], b"".join(reply.headers), len(reply.body), reply.body))
+        self.transport.close()
+
+    def drop(self) -> None:
+        """Waits no longer for what this caller may yet send."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = self.parser = None
+        self.console.callers.pop(self, None)
+
+
+class Console:
+    """The listener and its callers, in the order in which they came."""
+
+    def __init__(self, operated: Operated, address: tuple[str, int]) -> None:
+        self.operated, self.address = operated, address
+        self.listener: socket.socket | None = None
+        self.callers: dict[Caller, None] = {}
+        self.adopting: set[asyncio.Task[Any]] = set()
+
+    def listen(self) -> None:
+        """Opens the listener."""
+        family = socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET
+        self.listener = socket.create_server(self.address, family=family, backlog=BACKLOG)
+        self.listener.setblocking(False)
+        self.operated.loop.add_reader(self.listener, self._accept)
+
+    def _accept(self) -> None:
+        for _ in range(ACCEPTS):
+            if self.listener is None:
+                return
+            try:
+                sock, _address = self.listener.accept()
+            except OSError:  # nobody waits, or they went away again
+                return
+            sock.setblocking(False)
+            task = self.operated.loop.create_task(self._adopt(sock))
+            self.adopting.add(task)
+            task.add_done_callback(self.adopting.discard)
+            self._make_room()
+
+    def _make_room(self) -> None:
+        """One who says nothing must not keep out the others: who came first has had the longest time."""
+        while len(self.callers) + len(self.adopting) > CALLERS_MAX and self.callers:
+            first = next(iter(self.callers))
+            del self.callers[first]
+            first.drop()
+
+    async def _adopt(self, sock: socket.socket) -> None:
+        try:
+            await self.operated.loop.connect_accepted_socket(lambda: Caller(self), sock)
+        except OSError:
+            sock.close()
+
+    def sweep(self, now: float) -> None:
+        """Answers those whose call has not come in time."""
+        for caller in list(self.callers):
+            if now < caller.since + DUE_MS:
+                break
+            if caller.answered:
+                caller.drop()  # it does not read its answer
+            else:
+                caller.reply(Reply(408))
+
+    def shut(self) -> None:
+        """Closes the listener and all callers."""
+        if self.listener is not None:
+            self.operated.loop.remove_reader(self.listener)
+            self.listener.close()
+            self.listener = None
+        for caller in list(self.callers):
+            caller.drop()
--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -150,6 +150,9 @@
     def starved(self, _: object = None) -> None:
         self._end(None, "no descriptor left")
 
+    def written(self) -> None:
+        """Calls are not counted."""
+
     def _end(self, listing: Listing | None, problem: str) -> None:
         if not self.over:
             self.drop()
--- a/notchflow/net/downstream.py
+++ b/notchflow/net/downstream.py
@@ -309,7 +309,7 @@
                 return
         path = call.url.partition(b"?")[0]
         if path == READY:
-            self._write(call, 503 if self.front.draining else 200, [], [], 0)
+            self._write(call, 503 if self.host.duty.away else 200, [], [], 0)
             return
         if self.front.door is not None:
             reply = self.front.door.begin(call)
@@ -326,6 +326,7 @@
             self.fail(call, 405)
         elif call.spilled:
             log.warning("memory is short: a request is refused")
+            call.counts = self.host.figures.take(call.fields.get(b"x-call-class", b"").decode("latin-1"))
             self.refuse(call, 0.0)
         else:
             self._request(call, key.decode("latin-1"))
@@ -379,7 +380,7 @@
         self._answered(call, keep, status)
 
     def _keeps(self, call: Call) -> bool:
-        return call.keep and not self.front.draining and (not self.closing or bool(self.waiting))
+        return call.keep and not self.host.duty.away and (not self.closing or bool(self.waiting))
 
     def _answered(self, call: Call, keep: bool, status: int = 200) -> None:
         call.settle(status)
@@ -387,7 +388,7 @@
         self.active_at = self.host.clock.turn()
         if self.transport is None:
             return
-        if not keep or self.front.draining:
+        if not keep:  # else it was told that it may go on, and may be about to
             self.closing = True
             self.waiting.clear()
             if call.fault and not self.half_closed:
@@ -426,6 +427,7 @@
         if self.transport is None:
             return
         if not whole:
+            call.settle(502)  # cut off: the client can tell
             self.transport.abort()
             return
         if self.chunked:
@@ -463,12 +465,17 @@
         self.idle: dict[Client, None] = {}
         self.accepting = False
         self.backlog_empty = False
-        self.draining = False
+        self.inherited: int | None = None
         self.adopting: set[asyncio.Task[Any]] = set()
         self.sweeping: list[Client] = []
 
     def listen(self) -> None:
-        """Opens the listener."""
+        """Opens the listener, or takes the one that is inherited: others hold it too, so that it is neither
+        bound nor shut down here."""
+        if self.inherited is not None:
+            self.listener = inherit(self.inherited)
+            self.resume()
+            return
         self.listener = socket.socket(socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.setblocking(False)
@@ -553,6 +560,15 @@
             self.listener.close()
             self.listener = None
 
+    def close_still(self, now: float) -> None:
+        """Closes connections that carry nothing and are not to be held while clients are sent away."""
+        still = [c for c in self.idle if self.host.duty.overstays(now, c.active_at)]
+        for client in still:
+            del self.idle[client]
+            client.closing = True
+            if client.transport is not None:
+                client.transport.close()
+
     def lost(self, client: Client) -> None:
         self.clients.pop(client, None)
         self.idle.pop(client, None)  # else the dead stay for good, and closing one of them makes no room
@@ -573,6 +589,17 @@
             self.host.soon(self._sweep_on, now)
 
 
+def inherit(descriptor: int) -> socket.socket:
+    """The listening socket that the platform holds; an OSError says why it is none."""
+    listener = socket.socket(fileno=descriptor)
+    listens = listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    if listener.type != socket.SOCK_STREAM or not listens:
+        listener.detach()
+        raise OSError(f"descriptor {descriptor} (ROUTER_ACCEPT_FD) is no stream socket that listens")
+    listener.setblocking(False)
+    return listener
+
+
 def readable(url: bytes) -> bool:
     """Whether every reader takes a target for the same: a box may resolve dot segments, escaped or not, and
     a path that leaves its prefix is none of ours; only printable ASCII is in a target (RFC 3986)."""
--- a/notchflow/net/exchange.py
+++ b/notchflow/net/exchange.py
@@ -12,6 +12,8 @@
 from notchflow.net.clock import Clock
 from notchflow.net.listing import Listing
 from notchflow.net.timers import Calendar, Handle
+from notchflow.operations.duty import Duty
+from notchflow.operations.figures import ClassCounts, Figures
 
 HOP_BY_HOP = frozenset({b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
                         b"transfer-encoding", b"content-length", b"proxy-authenticate",
@@ -100,7 +102,8 @@
     """One request as a client sent it."""
 
     __slots__ = ("client", "ledger", "method", "url", "fields", "passed", "body", "size", "charged",
-                 "spilled", "keep", "chunks_allowed", "arrived_at", "open", "fault", "ticket", "reply")
+                 "spilled", "keep", "chunks_allowed", "arrived_at", "open", "fault", "ticket", "reply",
+                 "counts")
 
     def __init__(self, client: Asker, ledger: Ledger) -> None:
         self.client, self.ledger = client, ledger
@@ -117,6 +120,7 @@
         self.open: Open | None = None
         self.fault = 0  # the status that a request which never reaches the module is answered with
         self.ticket: Ticket | None = None
+        self.counts: ClassCounts | None = None  # where its end is counted, once it is taken
         self.reply: Reply | None = None  # settled at the end of the head: the body is read and dropped
 
     def release(self) -> None:
@@ -131,6 +135,9 @@
         collector, which stops the loop, must find nothing to do."""
         self.release()
         self.open = None
+        counts, self.counts = self.counts, None
+        if counts is not None:
+            counts.end(status)
         ticket, self.ticket = self.ticket, None
         if ticket is not None:
             ticket.done(status)
@@ -139,11 +146,12 @@
 class Open:
     """A request in hand and its attempts."""
 
-    __slots__ = ("id", "call", "deadline", "attempts", "out", "done", "streaming", "last", "timer")
+    __slots__ = ("id", "call", "deadline", "attempts", "out", "done", "streaming", "last", "timer", "counts")
 
     def __init__(self, number: int, call: Call, deadline: float) -> None:
         self.id = number
         self.call = call
+        self.counts = call.counts  # its attempts are counted there, also after its end
         self.deadline = deadline
         self.attempts = 0
         self.out: dict[int, Try] = {}
@@ -188,6 +196,8 @@
     held_max: float
     used: int
     descriptors: int
+    duty: Duty
+    figures: Figures
 
     def at(self, due: float, call: Callable[..., None], argument: Any = None) -> Handle: ...
 
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -35,12 +35,15 @@
 from notchflow.logic import Balancer
 from notchflow.net.clock import Clock
 from notchflow.net.config import Config
+from notchflow.net.console import CALLERS_MAX, Console
 from notchflow.net.discovery import Discovery
 from notchflow.net.downstream import Front
 from notchflow.net.exchange import Answer, Call, Door, Open
 from notchflow.net.listing import Listing
 from notchflow.net.timers import Calendar, Handle
 from notchflow.net.upstream import Attempt, IdleLimit, Pool, load_report
+from notchflow.operations.duty import Duty, Phase
+from notchflow.operations.figures import Figures
 
 log = logging.getLogger(__name__)
 
@@ -54,7 +57,7 @@
 ACCEPT_ON_MS = 500.0
 # No kill comes before the longest deadline and 0.7 s: by then the answers are out, and the process has ended.
 ANSWER_BY_MS, STOP_BY_MS = 400.0, 550.0
-DRAIN_STEP_MS = 20.0
+DRAIN_STEP_MS, STANDBY_STEP_MS = 20.0, 50.0
 
 
 class Host:
@@ -78,13 +81,18 @@
         self.timers = Calendar()
         self.armed: asyncio.TimerHandle | None = None
         self.armed_for = float("inf")
-        self.descriptors = max(config.sockets - RESERVED, 8)
+        reserved = RESERVED + (CALLERS_MAX if config.console is not None else 0)
+        self.descriptors = max(config.sockets - reserved, 8)
         self.used = 0
         self.held_max = max(config.memory_mb - BASE_MB, 16.0) * HELD_SHARE * (1 << 20)
         self.held = 0
         self.answer_by = float("inf")  # no request is held longer than this, once the process is to end
         self.stop_by = float("inf")
+        self.duty = Duty()
+        self.figures = Figures(self.classes)
+        self.console = Console(self, config.console) if config.console is not None else None
         self.front = Front(self, config.listen, door)
+        self.front.inherited = config.accept_fd
         self.fronts = [self.front, *(Front(self, address, door) for address in config.also_listen)]
         self.discovery = Discovery(self, config.discovery, config.known.revision)
 
@@ -97,6 +105,8 @@
         self.at(self.clock.now() + SWEEP_MS, self._sweep)
         for front in self.fronts:
             front.listen()
+        if self.console is not None:
+            self.console.listen()
 
     def reload(self, config: Config) -> None:
         """A new configuration: discovery may have moved. What the module was told at its start stays."""
@@ -106,16 +116,43 @@
             self.discovery.move(config.discovery)
 
     def stop(self) -> None:
-        if self.front.draining:
+        now = self.clock.now()
+        if not self.duty.leave(now):
             return
         log.info("draining")
-        now = self.clock.now()
-        for front in self.fronts:
-            front.draining = True
         self.answer_by = now + self.longest_ms + ANSWER_BY_MS
         self.stop_by = now + self.longest_ms + STOP_BY_MS
         self.at(now + ACCEPT_ON_MS, self._drain)
 
+    def serving(self) -> bool:
+        """Whether this process takes clients: from its start on until it is told to end."""
+        return self.front.listener is not None and self.duty.phase is not Phase.LEAVING
+
+    def standby(self) -> bool:
+        """Sends clients away, until `active`; whether that is done now."""
+        begun, now = self.duty.phase is Phase.ACTIVE, self.clock.now()
+        done = self.duty.standby(now)
+        if begun:
+            log.info("on standby")
+            self.at(now + STANDBY_STEP_MS, self._send_away)
+        return done
+
+    def active(self) -> bool:
+        """Back to work; whether that is done now."""
+        return self.duty.active(self.clock.now())
+
+    def _send_away(self, _: object = None) -> None:
+        if self.duty.phase is Phase.STANDBY:
+            now = self.clock.now()
+            self.at(now + STANDBY_STEP_MS, self._send_away)
+            for front in self.fronts:
+                front.close_still(now)
+
+    def report(self) -> str:
+        """The figures as they are now."""
+        listed, avoided = self.balancer.listed(self.clock.now())
+        return self.figures.text({"registry_entries": listed, "out_of_rotation": avoided})
+
     def _drain(self, _: object = None) -> None:
         now = self.clock.now()
         if all([front.close() for front in self.fronts]) or now >= self.stop_by:
@@ -139,6 +176,8 @@
                 attempt.abandon(Status.RESET)
         for front in self.fronts:
             front.sweep(now)
+        if self.console is not None:
+            self.console.sweep(now)
 
     # -- time
     def at(self, due: float, call: Callable[..., None], argument: Any = None) -> Handle:
@@ -304,6 +343,7 @@
         deadline = call.arrived_at + budget_ms
         if deadline > self.answer_by:
             deadline = self.answer_by
+        call.counts = self.figures.take(cls)
         call.open = item = Open(number, call, deadline)
         if deadline <= self.clock.now():
             item.last = Status.TIMEOUT
--- a/notchflow/net/upstream.py
+++ b/notchflow/net/upstream.py
@@ -94,6 +94,8 @@
 
     def starved(self, _: object = None) -> None: ...
 
+    def written(self) -> None: ...
+
 
 class Connection(asyncio.Protocol):
     """A connection to a node; it carries one exchange at a time."""
@@ -122,7 +124,10 @@
         self.pool.opened(self)
 
     def resume_writing(self) -> None:
-        self.sent = True
+        if not self.sent:
+            self.sent = True
+            if self.exchange is not None:
+                self.exchange.written()
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None or self.parser is None:
@@ -171,6 +176,7 @@
         # A failed write leaves nothing in the buffer either, but begins to close.
         if not self.transport.get_write_buffer_size() and not self.transport.is_closing():
             self.sent = True
+            exchange.written()
 
     def abandon(self) -> None:
         self.exchange = None
@@ -427,6 +433,12 @@
     def failed(self, sent: bool) -> None:
         self._end(Status.RESET if sent else Status.CONNECT_FAILED)
 
+    def written(self) -> None:
+        """The last byte of the request has gone."""
+        counts = self.open.counts
+        if counts is not None:
+            counts.relayed += 1
+
     def starved(self, _: object = None) -> None:
         """There was no descriptor to dial with: nothing went out, and the node is not to blame."""
         self._end(Status.MOOT)
--- /dev/null
+++ b/tests/operations/test_figures.py
@@ -0,0 +1,130 @@
+"""The figures against what scripted peers saw."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import re
+from collections import Counter
+
+from notchflow.operations.figures import Figures
+from tests.rig import Client, Rig, Seen, answer, run, until
+
+LINE = re.compile(r'svc_operations\{priority="(.+)",status="(\w+)"\} (\d+)')
+
+
+def counts(text: str) -> dict[tuple[str, str], int]:
+    return {(name, word): int(n) for name, word, n in LINE.findall(text)}
+
+
+def test_every_class_is_there_from_the_start_and_labels_are_escaped() -> None:
+    figures = Figures(["read", 'a "b"\\'])
+    text = figures.text({"registry_entries": 3})
+    assert counts(text)["read", "fulfilled"] == 0
+    assert 'priority="a \\"b\\"\\\\",status="relayed"} 0' in text
+    assert "svc_registry_entries 3\n" in text and "svc_cfg_invalid 0\n" in text
+
+
+def test_strange_classes_share_one_count() -> None:
+    figures = Figures(["read"])
+    for number in range(100):
+        figures.take(f"strange-{number}").end(503)
+    assert figures.classes["unknown"].throttled == 100 and len(figures.classes) == 2
+
+
+async def whatever(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    """A node that answers as the key asks."""
+    kind = int(seen.line.split()[1][-1], 16) % 8
+    if kind == 0:
+        writer.write(answer(b"no", "500 Broken"))
+    elif kind == 1:
+        writer.write(answer(b"", "503 Full", X_Rejected="1"))
+    elif kind == 2:
+        writer.transport.abort()
+    elif kind == 3:
+        writer.write(answer(b"x" * 200_000))
+    elif kind == 4:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + b"x" * 100_000)
+        await writer.drain()
+        writer.transport.abort()
+    elif kind == 5:
+        await asyncio.sleep(0.08)
+        writer.write(answer(b"late"))
+    else:
+        writer.write(answer(b"value"))
+
+
+def test_every_ending_is_counted_once_as_the_clients_saw_it() -> None:
+    """Answered, refused, failed, cut off in the midst, too late, turned away at the door."""
+    async def test() -> None:
+        draw, seen = random.Random(5), Counter[tuple[str, str]]()
+
+        async def ask(client: Client, number: int) -> Client:
+            cls = draw.choice(["read", "keyed", "once", "strange"])
+            client.send(path=f"/api/{number:016x}", x_call_class=cls, x_call_id=f"{number:x}",
+                        x_budget="0.05")
+            got = await client.receive()
+            word = ("faulted" if got is None or got.status not in (200, 503) else
+                    "fulfilled" if got.status == 200 else "throttled")
+            seen["unknown" if cls == "strange" else cls, word] += 1
+            if got is None or got.headers.get("connection") == "close":
+                client.reset()
+                return await rig.connect()
+            return client
+
+        async def one(start: int) -> None:
+            client = await rig.connect()
+            for number in range(start, start + 100):
+                client = await ask(client, number)
+
+        async with Rig(whatever, whatever, whatever) as rig:
+            await asyncio.gather(*(one(1_000 * n) for n in range(1, 6)))
+            await until(lambda: rig.host.figures.open == 0)
+            got = counts(rig.host.report())
+            assert sum(seen.values()) == 500
+            for (cls, word), number in seen.items():
+                assert got[cls, word] == number, (cls, word)
+            relayed = sum(n for (_, word), n in got.items() if word == "relayed")
+            assert relayed == rig.sent
+            assert sum(c.taken for c in rig.host.figures.classes.values()) == 500
+
+    run(test(), 30)
+
+
+def test_open_requests_and_those_whose_client_has_gone() -> None:
+    async def mute(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0)
+
+    async def test() -> None:
+        async with Rig(mute) as rig:
+            clients = [await rig.connect() for _ in range(5)]
+            for client in clients:
+                client.send()
+            await until(lambda: rig.host.figures.open == 5)
+            assert "svc_open_requests 5\n" in rig.host.report()
+            for client in clients:
+                client.reset()
+            await until(lambda: rig.host.figures.open == 0)
+            assert "svc_departed 5\n" in rig.host.report()
+            assert rig.host.figures.classes["read"].faulted == 0
+
+    run(test())
+
+
+def plain(rig: Rig) -> str:
+    return re.sub("# .*\n", "", rig.host.report())
+
+
+def test_the_list_is_counted_with_those_that_are_avoided() -> None:
+    async def test() -> None:
+        async with Rig(whatever, whatever, whatever) as rig:
+            assert "svc_registry_entries 3\n" in rig.host.report()
+            _, writer = await rig.calls.get()
+            writer.write(rig.listing(42, False, [rig.entry(0, phase="draining")]))
+            _, writer = await rig.calls.get()
+            assert "svc_registry_entries 3\nsvc_out_of_rotation 1\n" in plain(rig)
+            writer.write(rig.listing(43, False, [rig.entry(0, phase="removed")]))
+            await rig.calls.get()
+            assert "svc_registry_entries 2\nsvc_out_of_rotation 0\n" in plain(rig)
+
+    run(test())
