Settings are taken over at SIGHUP, files judged whole; design of the handover

Need: new classes were refused for good, since Host.reload kept the settings of the start, and files turned down were not counted.

Change: Retune is an event of the module's contract. Requests in hand keep their class and at most the attempts they were taken with; servers, hot keys and latencies stay. A file must have the keys of the running one.

--- a/notchflow/__main__.py
+++ b/notchflow/__main__.py
@@ -21,9 +21,10 @@
 def on_hangup(host: Host) -> None:
     """Takes over the file as it is now; one that cannot be read changes nothing and ends nothing."""
     try:
-        config = reload(os.environ)
+        config = reload(os.environ, host.config.shape)
     except ConfigError as error:
         log.error("the configuration stays as it was: %s", error)
+        host.figures.cfg_invalid += 1
         return
     host.reload(config)
 
--- a/notchflow/interface.py
+++ b/notchflow/interface.py
@@ -264,6 +264,13 @@
     load: Mapping[str, float] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Retune:
+    """New settings, from now on. A request in hand keeps the class that it was taken with, to its end."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class Timer:
     """A timer set by this balancer has come due."""
@@ -279,7 +286,8 @@
     data: bytes
 
 
-Event: TypeAlias = Membership | Request | StreamStarted | Outcome | ClientGone | Probed | Timer | PeerMessage
+Event: TypeAlias = (
+    Membership | Request | StreamStarted | Outcome | ClientGone | Probed | Timer | PeerMessage | Retune)
 
 
 class Send(NamedTuple):
--- a/notchflow/logic.py
+++ b/notchflow/logic.py
@@ -15,8 +15,8 @@
 from typing import Final
 
 from notchflow.interface import (
-    Action, Cancel, ClientGone, Effect, Event, Fail, Group, ListKind, Member, Membership, Outcome,
-    Refuse, Request, RequestClass, Send, SetTimer, Settings, State, Status, StreamStarted, Timer, Watch,
+    Action, Cancel, ClientGone, Effect, Event, Fail, Group, ListKind, Member, Membership, Outcome, Refuse,
+    Request, RequestClass, Retune, Send, SetTimer, Settings, State, Status, StreamStarted, Timer, Watch,
 )
 
 TOP_K: Final = 16  # keys in either list; popularity is steep, beyond these a key is no burden to one server
@@ -522,10 +522,10 @@
 class Pending:
     """A request in hand: its attempts, and what the rules still allow for it."""
 
-    __slots__ = ("request", "cls", "out", "tried", "may_have_run", "attempts", "done", "streaming")
+    __slots__ = ("request", "cls", "out", "tried", "may_have_run", "attempts", "most", "done", "streaming")
 
-    def __init__(self, request: Request, cls: RequestClass) -> None:
-        self.request, self.cls = request, cls
+    def __init__(self, request: Request, cls: RequestClass, most: int) -> None:
+        self.request, self.cls, self.most = request, cls, most
         self.out: dict[int, tuple[Node, float]] = {}
         self.tried: tuple[Node, ...] = ()
         self.may_have_run: tuple[tuple[Node, float], ...] = ()
@@ -570,12 +570,8 @@
     """Decides what becomes of every request of one balancer."""
 
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
-        self.settings = settings
-        self.aside = settings.origin_kind is not None
-        self.by_work = settings.worth_by_work
-        self.second_copies, self.max_attempts = settings.limits.second_copies, settings.limits.max_attempts
         self.rng = random.Random(seed)
-        self.classes = {c.name: c for c in settings.classes}
+        self._take_over(settings)
         self.fleet = Fleet(settings)
         self.topk = FastTopK(self.rng)
         self.threshold = Threshold()
@@ -595,6 +591,22 @@
         self.seconds: list[tuple[float, int]] = []  # when which request may have a second copy; a heap
         self.seconds_at = math.inf  # the timer that is set for the first of them
 
+    def _take_over(self, settings: Settings) -> None:
+        self.settings = settings
+        self.aside = settings.origin_kind is not None
+        self.by_work = settings.worth_by_work
+        self.second_copies, self.max_attempts = settings.limits.second_copies, settings.limits.max_attempts
+        self.classes = {c.name: c for c in settings.classes}
+
+    def _retune(self, now: float, settings: Settings) -> None:
+        """New settings: what was learned of servers, keys and times stays. Requests in hand keep their class,
+        and no more attempts than were allowed then; where fewer are now, that holds for them too."""
+        self._take_over(settings)
+        self.fleet.settings = settings
+        for pending in self.pending.values():
+            pending.most = min(pending.most, self.max_attempts)
+        self.fleet.update(now, Membership(ListKind.DELTA))  # warm-up times may be others
+
     def handle(self, now: float, event: Event) -> list[Action]:
         """Answers one event."""
         actions: list[Action] = []
@@ -622,6 +634,8 @@
                 self._timer(now, token)
             case ClientGone(request):
                 self._close(request)
+            case Retune(settings):
+                self._retune(now, settings)
             case StreamStarted(request, attempt):
                 if request in self.pending:
                     self.pending[request].streaming = True
@@ -758,7 +772,7 @@
         self.arrivals += 1
         if key is not None:
             self.topk.observe(key)
-        pending = self.pending[number] = Pending(request, cls)
+        pending = self.pending[number] = Pending(request, cls, self.max_attempts)
         if self._shed(request, cls):
             self.throttle.count(False)
             self._finish(pending)
@@ -796,7 +810,7 @@
         if pending is None or pending.done or pending.streaming or len(pending.out) != 1 or self.retries < 1:
             return
         (first, sent_at), = pending.out.values()
-        more = pending.attempts < self.max_attempts and self.throttle.pressure() <= 0
+        more = pending.attempts < pending.most and self.throttle.pressure() <= 0
         node = self._pick(now, pending) if more and first.newest > (sent_at + now) / 2 else None
         if node is not None:
             self.retries -= 1
@@ -812,7 +826,7 @@
 
     def _send(self, now: float, pending: Pending, node: Node | None) -> None:
         left, attempts = pending.request.deadline - now, pending.attempts
-        if (node is None or left <= 0 or attempts >= self.max_attempts or node.member.state is not READY
+        if (node is None or left <= 0 or attempts >= pending.most or node.member.state is not READY
                 or (attempts and not pending.may_go(node, now))):
             self._finish(pending)
             return
@@ -820,7 +834,7 @@
         if node.fails or node.mutes:
             mute = node.mutes.get(pending.cls.name)
             doubtful = node.fails > 0 or (mute is not None and mute.fails >= SUSPECT_AFTER)
-            if doubtful and attempts + 1 < self.max_attempts and pending.cls.effect is SAFE:
+            if doubtful and attempts + 1 < pending.most and pending.cls.effect is SAFE:
                 timeout = left * TRIAL_SHARE
         pending.out[attempts] = node, now
         pending.attempts = attempts + 1
--- a/notchflow/net/config.py
+++ b/notchflow/net/config.py
@@ -10,6 +10,7 @@
 from notchflow import wire
 from notchflow.interface import Settings
 from notchflow.net.listing import Address, Listing, decode_listing, parse_address
+from notchflow.operations.shape import Shape, missing, shape_of
 
 CONN_IDLE_MS = 10_000.0
 MEMORY_MB, SOCKETS = 192.0, 1024
@@ -36,10 +37,11 @@
     also_listen: tuple[Address, ...] = ()
     console: Address | None = None  # where operators call; none: there is no console
     accept_fd: int | None = None  # the clients' listening socket, where it is inherited
+    shape: Shape = frozenset()  # the keys of the file
 
 
-def load(env: Mapping[str, str]) -> Config:
-    """Reads the configuration; the variables come before the file."""
+def load(env: Mapping[str, str], running: Shape = frozenset()) -> Config:
+    """Reads the configuration; the variables come before the file, which must have the running one's keys."""
     path = env.get("ROUTER_CONFIG")
     if not path:
         raise ConfigError("ROUTER_CONFIG is not set")
@@ -52,15 +54,19 @@
         raise ConfigError(f"ROUTER_CONFIG: {path}: not JSON ({error})") from None
     if not isinstance(data, dict):
         raise ConfigError(f"ROUTER_CONFIG: {path}: expected an object")
+    lacks = missing(running, data)
+    if lacks:
+        raise ConfigError(f"ROUTER_CONFIG: {path}: lacks {', '.join(lacks[:5])}, which the running file has; "
+                          "put the whole file in its place and send SIGHUP again")
     try:
         return _decode(data, env)
     except (wire.WireError, ValueError, TypeError, AttributeError, KeyError) as error:
         raise ConfigError(f"ROUTER_CONFIG: {path}: {error!s:.300}") from None
 
 
-def reload(env: Mapping[str, str]) -> Config:
+def reload(env: Mapping[str, str], running: Shape) -> Config:
     """Reads the file again. It names discovery now: the variable is still that of the start."""
-    return load({name: value for name, value in env.items() if name != "ROUTER_DISCOVERY"})
+    return load({name: value for name, value in env.items() if name != "ROUTER_DISCOVERY"}, running)
 
 
 def _decode(data: Mapping[str, Any], env: Mapping[str, str]) -> Config:
@@ -78,4 +84,4 @@
         conn_idle_ms=float((data["settings"].get("Limits") or {}).get("ConnIdleMs", CONN_IDLE_MS)),
         memory_mb=float(limits.get("memory_mb", MEMORY_MB)), sockets=int(limits.get("sockets", SOCKETS)),
         console=parse_address(console) if console else None,
-        accept_fd=int(accept_fd) if accept_fd else None)
+        accept_fd=int(accept_fd) if accept_fd else None, shape=shape_of(data))
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -24,6 +24,7 @@
     Probed,
     Refuse,
     Request,
+    Retune,
     Send,
     SetTimer,
     State,
@@ -109,12 +110,27 @@
             self.console.listen()
 
     def reload(self, config: Config) -> None:
-        """A new configuration: discovery may have moved. What the module was told at its start stays."""
-        if config.settings != self.settings or config.listen != self.config.listen:
-            log.warning("new settings and a new address to listen on wait for the next start")
+        """A new configuration: its settings hold from now on, and discovery may have moved."""
+        if config.listen != self.config.listen or config.console != self.config.console:
+            log.warning("a new address to listen on waits for the next start")
+        self.figures.cfg_accepted += 1
+        if config.settings != self.settings:
+            self._take_over(config)
+            self.tell(Retune(config.settings))
+        self.config = config
         if config.discovery is not None:
             self.discovery.move(config.discovery)
 
+    def _take_over(self, config: Config) -> None:
+        self.settings = settings = config.settings
+        self.classes = {c.name: c.deadline_ms for c in settings.classes}
+        self.longest_ms = max(self.classes.values())
+        self.max_attempts = settings.limits.max_attempts
+        self.figures.know(self.classes)
+        self.idle_limit.state(config.conn_idle_ms)
+        for pool in self.pools.values():
+            pool.connect_ms = settings.limits.connect_timeout_ms
+
     def stop(self) -> None:
         now = self.clock.now()
         if not self.duty.leave(now):
--- a/notchflow/net/upstream.py
+++ b/notchflow/net/upstream.py
@@ -49,6 +49,12 @@
         self.breaks = [0.0] * (len(AGES_MS) + 1)
         self.faded_at = 0.0
 
+    def state(self, conn_idle_ms: float) -> None:
+        """The settings state another time."""
+        self.stated_ms = RETIRE_SHARE * conn_idle_ms
+        self.ms = min(self.ms, self.stated_ms)
+        self._judge()
+
     def count(self, age: float | None, broken: bool) -> None:
         self.uses[0 if age is None else bisect_right(AGES_MS, age)] += 1
         if broken:
--- /dev/null
+++ b/tests/operations/test_settings.py
@@ -0,0 +1,169 @@
+"""Settings that change while requests are under way, and files that are turned down."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from notchflow.__main__ import on_hangup
+from notchflow.interface import Effect, Fail, Limits, Outcome, Refuse, RequestClass, Retune, Send, Status
+from notchflow.net.config import ConfigError, load, reload
+from notchflow.operations.shape import missing, shape_of
+from tests.helpers import LIMITS, ask, make_balancer, make_settings, sends
+from tests.rig import Rig, Seen, answer, run, until
+
+CLASS = {"Name": "read", "ObjectiveMs": 300, "DeadlineMs": 500, "Effect": "repeatable"}
+FILE: dict[str, Any] = {
+    "listen": "127.0.0.1:9000", "discovery": "127.0.0.1:8500", "name": "n0", "seed": "1",
+    "limits": {"sockets": 384}, "settings": {"Classes": [CLASS], "Limits": {"MaxAttempts": 3}}}
+
+
+def changed(**settings: Any) -> dict[str, Any]:
+    return FILE | {"settings": FILE["settings"] | settings}
+
+
+def without(data: dict[str, Any], *path: str) -> dict[str, Any]:
+    data = json.loads(json.dumps(data))
+    inner = data
+    for key in path[:-1]:
+        inner = inner[key]
+    del inner[path[-1]]
+    return data
+
+
+BROKEN = {
+    "empty": "",
+    "cut off": json.dumps(FILE)[:-30],
+    "a list": "[]",
+    "no settings": json.dumps(without(FILE, "settings")),
+    "no limits": json.dumps(without(FILE, "settings", "Limits")),
+    "no attempts": json.dumps(without(FILE, "settings", "Limits", "MaxAttempts")),
+    "no name": json.dumps(without(FILE, "name")),
+    "no classes": json.dumps(changed(Classes=[])),
+    "a class without its effect": json.dumps(changed(Classes=[CLASS, without(CLASS, "Effect")])),
+    "a class without its deadline": json.dumps(changed(Classes=[without(CLASS, "DeadlineMs")])),
+    "a deadline of 0": json.dumps(changed(Classes=[CLASS | {"DeadlineMs": 0}])),
+    "a deadline below 0": json.dumps(changed(Classes=[CLASS | {"DeadlineMs": -5}])),
+    "a deadline of words": json.dumps(changed(Classes=[CLASS | {"DeadlineMs": "long"}])),
+    "no attempts allowed": json.dumps(changed(Limits={"MaxAttempts": 0})),
+    "an effect that there is not": json.dumps(changed(Classes=[CLASS | {"Effect": "often"}])),
+    "a class twice": json.dumps(changed(Classes=[CLASS, CLASS])),
+}
+
+
+@pytest.fixture
+def told(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Path:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(FILE))
+    monkeypatch.setenv("ROUTER_CONFIG", str(path))
+    for name in ("ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_NAME", "ROUTER_CONSOLE", "ROUTER_ACCEPT_FD"):
+        monkeypatch.delenv(name, raising=False)
+    return path
+
+
+@pytest.mark.parametrize("fault", BROKEN)
+def test_a_broken_file_is_turned_down_whole_with_its_place(fault: str, told: Path) -> None:
+    running = load(os.environ)
+    told.write_text(BROKEN[fault])
+    with pytest.raises(ConfigError, match=str(told)):
+        reload(os.environ, running.shape)
+
+
+def test_more_keys_and_classes_with_keys_of_their_own_are_whole() -> None:
+    shape = shape_of(changed(Classes=[CLASS | {"WindowMs": 5}, CLASS | {"Name": "b"}]))
+    assert missing(shape, changed(Classes=[CLASS])) == []
+    assert missing(shape, changed(Classes=[without(CLASS, "Name")])) == ["settings.Classes[].Name"]
+    assert missing(shape, FILE | {"more": 1}) == []
+
+
+def test_a_hangup_takes_a_file_over_or_leaves_all_as_it_was(
+        told: Path, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with Rig() as rig:
+            rig.host.config = replace(load(os.environ), listen=rig.host.config.listen,
+                                      discovery=rig.host.config.discovery)
+            before = rig.host.settings
+            for fault in BROKEN.values():
+                told.write_text(fault)
+                on_hangup(rig.host)
+            assert rig.host.settings is before and rig.host.figures.cfg_invalid == len(BROKEN)
+            assert (await rig.ask()).status == 200
+            told.write_text(json.dumps(changed(Classes=[CLASS, CLASS | {"Name": "fresh"}]) | {
+                "discovery": f"127.0.0.1:{rig.discovery.port}"}))
+            assert (await rig.ask(x_call_class="fresh")).status == 503
+            on_hangup(rig.host)
+            assert rig.host.figures.cfg_accepted == 1
+            assert (await rig.ask(x_call_class="fresh")).status == 200
+            assert (await rig.ask(x_call_class="keyed")).status == 503, "a class that has vanished"
+            assert 'priority="fresh",status="fulfilled"} 1' in rig.host.report()
+
+    with caplog.at_level(logging.ERROR):
+        run(test())
+    assert len(caplog.records) == len(BROKEN)
+
+
+def test_a_request_under_way_keeps_its_class_when_that_vanishes() -> None:
+    async def test() -> None:
+        held: list[asyncio.StreamWriter] = []
+
+        async def hold(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            held.append(writer)
+
+        async with Rig(hold) as rig:
+            client = await rig.connect()
+            client.send()
+            await until(lambda: held)
+            rig.host.reload(replace(rig.host.config, settings=make_settings(
+                classes=(RequestClass("other", 100, 200),))))
+            held[0].write(answer(b"kept"))
+            seen = await client.receive()
+            assert seen is not None and seen.body == b"kept"
+
+    run(test())
+
+
+def retune(balancer: Any, now: float, **changes: Any) -> None:
+    assert balancer.handle(now, Retune(make_settings(**changes))) == []
+
+
+def test_a_stricter_effect_binds_what_comes_later_alone() -> None:
+    balancer = make_balancer()
+    first = sends(balancer.handle(10, ask(1, 10, "read")))[0]
+    retune(balancer, 20, classes=(RequestClass("read", 300, 1000, effect=Effect.UNSAFE),))
+    again = balancer.handle(30, Outcome(1, 0, first.node, Status.RESET, 20))
+    assert isinstance(again[0], Send), "it was safe to repeat when it was taken"
+    later = sends(balancer.handle(40, ask(2, 40, "read")))[0]
+    assert balancer.handle(50, Outcome(2, 0, later.node, Status.RESET, 10)) == [Fail(2)]
+
+
+def test_fewer_attempts_hold_at_once_and_more_for_later_ones() -> None:
+    balancer = make_balancer(limits=Limits(max_attempts=3))
+    first = sends(balancer.handle(10, ask(1, 10)))[0]
+    retune(balancer, 20, limits=Limits(max_attempts=1))
+    assert balancer.handle(30, Outcome(1, 0, first.node, Status.FULL, 20)) == [Refuse(1)]
+    second = sends(balancer.handle(40, ask(2, 40)))[0]
+    retune(balancer, 50, limits=Limits(max_attempts=3))
+    assert balancer.handle(60, Outcome(2, 0, second.node, Status.FULL, 20)) == [Refuse(2)]
+    third = sends(balancer.handle(70, ask(3, 70)))[0]
+    assert isinstance(balancer.handle(80, Outcome(3, 0, third.node, Status.FULL, 10))[0], Send)
+
+
+def test_what_was_learned_stays() -> None:
+    balancer = make_balancer()
+    for number in range(200):
+        send = sends(balancer.handle(number, ask(number, number)))[0]
+        balancer.handle(number + 0.5, Outcome(number, 0, send.node, Status.OK, 12.0, closed=True))
+    node = next(iter(balancer.fleet.nodes.values()))
+    node.ejected_until = 9_000.0
+    latency, order = dict(balancer.fleet.class_latency), balancer.fleet.order("aa")
+    retune(balancer, 300, limits=LIMITS, classes=(*make_settings().classes, RequestClass("new", 100, 200)))
+    assert balancer.fleet.class_latency == latency and balancer.fleet.order("aa") == order
+    assert node.ejected_until == 9_000.0
+    assert sends(balancer.handle(301, ask(900, 301, "new")))
