The new process of a replacement begins with what the old one has learned

Cause: each replacement threw away the weights of kinds, latencies, hot keys and health; no weights come with the list.

Change: a Unix socket in TMPDIR, one checked frame (list, revision, what the module learned), limits halved while two processes run, undone when either ends.

--- a/notchflow/__main__.py
+++ b/notchflow/__main__.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import tempfile
 
 import uvloop
 
@@ -14,6 +15,7 @@
 from notchflow.net.collector import settle
 from notchflow.net.config import ConfigError, load, reload
 from notchflow.net.host import Host
+from notchflow.net.succession import Succession
 
 log = logging.getLogger(__name__)
 
@@ -40,6 +42,8 @@
     loop = uvloop.new_event_loop()
     asyncio.set_event_loop(loop)
     host = Host(config, loop)
+    if config.accept_fd is not None:  # another process may be serving, and one may come after this
+        host.succession = Succession(host, tempfile.gettempdir(), config.name)
     loop.add_signal_handler(signal.SIGHUP, on_hangup, host)
     loop.add_signal_handler(signal.SIGTERM, host.stop)
     loop.add_signal_handler(signal.SIGINT, host.stop)
--- a/notchflow/logic.py
+++ b/notchflow/logic.py
@@ -10,9 +10,9 @@
 import math
 import random
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from heapq import heappop, heappush
-from typing import Final
+from typing import Any, Final
 
 from notchflow.interface import (
     Action, Cancel, ClientGone, Effect, Event, Fail, Group, ListKind, Member, Membership, Outcome, Refuse,
@@ -76,6 +76,8 @@
 BACKOFF_MS, BACKOFF_MAX_MS = 500.0, 6_000.0
 WINDOW_MARGIN_MS: Final = 5.0
 
+TOLD: Final = ("fifo", "counters", "historical", "prior", "compared", "seen")  # of the top-k
+
 MASK: Final = (1 << 64) - 1
 
 # Looking up a member of an enum costs as much as a call: these are looked up several times a request.
@@ -515,6 +517,13 @@
             node.trial = True
 
 
+def _numbers(told: Mapping[str, Any]) -> dict[str, float]:
+    values = {str(name): float(value) for name, value in told.items()}
+    if not all(math.isfinite(value) and value >= 0 for value in values.values()):
+        raise ValueError("expected finite numbers that are not negative")
+    return values
+
+
 def _hex(key: str) -> bool:
     return len(key) <= 16 and all(c in "0123456789abcdef" for c in key)
 
@@ -607,6 +616,48 @@
             pending.most = min(pending.most, self.max_attempts)
         self.fleet.update(now, Membership(ListKind.DELTA))  # warm-up times may be others
 
+    # -- what a process that takes this one's place is told
+    def learned(self, now: float) -> dict[str, Any]:
+        """What need not be learned anew, in plain values; times are counted from now."""
+        fleet, topk = self.fleet, self.topk
+        return {
+            "kinds": fleet.kind_weight, "slow": fleet.kind_slow, "classes": fleet.class_latency,
+            "load": list(self.threshold.history), "cost": self.mean_cost,
+            "rate": self.rate / 2,  # both serve for a while, and the two count cold servers' budgets apart
+            "topk": {name: getattr(topk, name) for name in TOLD},
+            "spread": {key: width for key, (width, _) in self.spread.items()}, "factoring": self.factoring,
+            "health": {str(n.id): [n.fails, max(n.ejected_until - now, 0.0), n.pause, n.trial]
+                       for n in fleet.nodes.values() if n.fails}}
+
+    def learn(self, now: float, told: Mapping[str, Any]) -> None:
+        """Begins with what another process has learned; an error leaves all as it was."""
+        kinds, classes = _numbers(told["kinds"]), _numbers(told["classes"])
+        slow = {str(kind): [float(s), float(n)] for kind, (s, n) in told["slow"].items()}
+        load, rate, cost = [float(n) for n in told["load"]], float(told["rate"]), float(told["cost"])
+        topk = FastTopK(self.rng)
+        for name in ("counters", "historical", "prior"):
+            setattr(topk, name, _numbers(told["topk"][name]))
+        topk.compared, topk.seen = float(told["topk"]["compared"]), float(told["topk"]["seen"])
+        if topk.historical.keys() != topk.prior.keys():
+            raise ValueError("the historical list has keys without their rates")
+        for key in [str(key) for key in told["topk"]["fifo"]][-FIFO_MAX:]:
+            topk.fifo.append(key)
+            topk.held[key] = topk.held.get(key, 0) + 1
+        spread = {str(key): (int(width), now) for key, width in told["spread"].items()}
+        health = [(self.fleet.nodes.get(int(node)), int(fails), float(out), float(pause), bool(trial))
+                  for node, (fails, out, pause, trial) in told["health"].items()]
+        self.fleet.kind_weight, self.fleet.kind_slow, self.fleet.class_latency = kinds, slow, classes
+        self.threshold.history.extend(load)
+        self.threshold.load = load[-1] if load else 0.0
+        self.rate, self.mean_cost, self.topk = rate, cost, topk
+        topk.capacity = int(min(max(rate * FIFO_MS, FIFO_MIN), FIFO_MAX))
+        self.spread, self.factoring = spread, bool(told["factoring"])
+        for node, fails, out, pause, trial in health:
+            if node is not None:
+                node.fails, node.pause, node.trial = fails, min(pause, EJECT_MAX_MS), trial
+                node.ejected_until = now + min(out, EJECT_MAX_MS)
+        self.fleet.reweigh(now)
+
     def handle(self, now: float, event: Event) -> list[Action]:
         """Answers one event."""
         actions: list[Action] = []
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -18,6 +18,7 @@
     Event,
     Fail,
     ListKind,
+    Member,
     Membership,
     Outcome,
     Probe,
@@ -40,11 +41,13 @@
 from notchflow.net.discovery import Discovery
 from notchflow.net.downstream import Front
 from notchflow.net.exchange import Answer, Call, Door, Open
-from notchflow.net.listing import Listing
+from notchflow.net.listing import Address, Listing, decode_listing, encode_member
+from notchflow.net.succession import Succession
 from notchflow.net.timers import Calendar, Handle
 from notchflow.net.upstream import Attempt, IdleLimit, Pool, load_report
 from notchflow.operations.duty import Duty, Phase
 from notchflow.operations.figures import Figures
+from notchflow.operations.handover import Shares
 
 log = logging.getLogger(__name__)
 
@@ -83,9 +86,9 @@
         self.armed: asyncio.TimerHandle | None = None
         self.armed_for = float("inf")
         reserved = RESERVED + (CALLERS_MAX if config.console is not None else 0)
-        self.descriptors = max(config.sockets - reserved, 8)
+        self.descriptors = self.descriptors_whole = max(config.sockets - reserved, 8)
         self.used = 0
-        self.held_max = max(config.memory_mb - BASE_MB, 16.0) * HELD_SHARE * (1 << 20)
+        self.held_max = self.held_whole = max(config.memory_mb - BASE_MB, 16.0) * HELD_SHARE * (1 << 20)
         self.held = 0
         self.answer_by = float("inf")  # no request is held longer than this, once the process is to end
         self.stop_by = float("inf")
@@ -95,12 +98,16 @@
         self.front = Front(self, config.listen, door)
         self.front.inherited = config.accept_fd
         self.fronts = [self.front, *(Front(self, address, door) for address in config.also_listen)]
+        self.listed: dict[int, tuple[str, Address, Member]] = {}  # the list as it is now
+        self.succession: Succession | None = None
         self.discovery = Discovery(self, config.discovery, config.known.revision)
 
     # -- life
     def start(self) -> None:
         """Tells the module the list as it was last known, then listens."""
-        self.apply(self.config.known, ListKind.CACHED)
+        state = self.succession.ask() if self.succession is not None else None
+        if state is None or not self._inherit(state):
+            self.apply(self.config.known, ListKind.CACHED)
         if not self.settings.list_on_request:
             self.discovery.watch(True)
         self.at(self.clock.now() + SWEEP_MS, self._sweep)
@@ -108,6 +115,8 @@
             front.listen()
         if self.console is not None:
             self.console.listen()
+        if self.succession is not None:
+            self.succession.begin()
 
     def reload(self, config: Config) -> None:
         """A new configuration: its settings hold from now on, and discovery may have moved."""
@@ -121,6 +130,33 @@
         if config.discovery is not None:
             self.discovery.move(config.discovery)
 
+    # -- replacement
+    def state(self) -> dict[str, Any]:
+        """What the process that takes over is told."""
+        members = [encode_member(*entry) for entry in self.listed.values()]
+        return {"listing": {"revision": self.discovery.revision or 0, "complete": True, "members": members},
+                "learned": self.balancer.learned(self.clock.now())}
+
+    def _inherit(self, state: dict[str, Any]) -> bool:
+        """Begins with what the process before this one tells, unless the list that is known is newer."""
+        try:
+            listing = decode_listing(state["listing"])
+            if listing.revision < self.config.known.revision:
+                listing = self.config.known
+            self.apply(listing, ListKind.CACHED)
+            self.discovery.revision = listing.revision
+            self.balancer.learn(self.clock.now(), state["learned"])
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            log.warning("what the process before this one told is malformed: %r", error)
+            return bool(self.listed)
+        log.info("taken over from the process before this one: %d boxes", len(self.listed))
+        return True
+
+    def divide(self, shares: Shares) -> None:
+        """The limits hold for all processes of this proxy together."""
+        self.descriptors = max(int(shares.of(self.descriptors_whole)), 8)
+        self.held_max = shares.of(self.held_whole)
+
     def _take_over(self, config: Config) -> None:
         self.settings = settings = config.settings
         self.classes = {c.name: c.deadline_ms for c in settings.classes}
@@ -136,6 +172,8 @@
         if not self.duty.leave(now):
             return
         log.info("draining")
+        if self.succession is not None:
+            self.succession.leave()
         self.answer_by = now + self.longest_ms + ANSWER_BY_MS
         self.stop_by = now + self.longest_ms + STOP_BY_MS
         self.at(now + ACCEPT_ON_MS, self._drain)
@@ -342,12 +380,22 @@
                 self.pools[member.node] = Pool(self, address, limit, self.idle_limit)
         if kind is not ListKind.DELTA:
             retired.extend(self.pools[node] for node in self.pools.keys() - addresses.keys())
+            self.listed.clear()
+        self._list(listing)
         for pool in retired:
             pool.retire()
         self.tell(Membership(kind, listing.members, listing.revision))
         for pool in retired:  # now that the module knows better than to send there again
             pool.undial()
 
+    def _list(self, listing: Listing) -> None:
+        names, addresses = listing.names or {}, listing.addresses or {}
+        for member in listing.members:
+            if member.state is State.GONE:
+                self.listed.pop(member.node, None)
+            elif member.node in names:
+                self.listed[member.node] = names[member.node], addresses[member.node], member
+
     # -- the life of a request
     def request(self, call: Call, cls: str, budget_ms: float | None, key: str | None = None,
                 tenant: str | None = None, hint_ms: float | None = None, size: float | None = None,
--- a/notchflow/net/listing.py
+++ b/notchflow/net/listing.py
@@ -38,6 +38,14 @@
     return host.strip("[]"), int(port)
 
 
+def encode_member(name: str, address: Address, member: Member) -> dict[str, object]:
+    """An entry in discovery's form."""
+    phase = next(word for word, state in PHASES.items() if state is member.state)
+    return {"id": name, "host_port": f"{address[0]}:{address[1]}", "locality": member.zone,
+            "flavor": member.kind, "cell": member.cell, "phase": phase, "size": member.size,
+            "up_since_ms": member.ready_at_ms}
+
+
 def decode_listing(data: object) -> Listing:
     """A list in discovery's form; a ValueError says what is wrong with it."""
     if not isinstance(data, dict):
