--- a/benchmarks/replacement.py
+++ b/benchmarks/replacement.py
@@ -62,10 +62,11 @@
     answered: list[tuple[float, bool]] = field(default_factory=list)  # when it was asked, and whether in time
 
     def dip(self, moments: Sequence[float]) -> float:
-        """The worst share in time among requests asked within half a second of one of these moments."""
+        """The worst share in time among requests asked from half a second before one of these moments to a
+        second and a half after it."""
         shares = []
         for moment in moments:
-            near = [good for at, good in self.answered if abs(at - moment) <= 0.5]
+            near = [good for at, good in self.answered if -0.5 <= at - moment <= 1.5]
             shares.append(sum(near) / len(near) if near else 1.0)
         return min(shares, default=1.0)
 
