Console answers what has come at once; a slow body has the time it needs

Cause: with 200 silent callers coming back as they are dropped, 9 of 60 calls were lost: a caller was put out to make room before its call was read.

Change: a call that lies whole in the kernel is answered when it is accepted; up to 48 callers (an eighth of the descriptors), 8 accepted a turn; a body has 2.3 s and what it needs at 32 kB a second.

--- a/notchflow/net/console.py
+++ b/notchflow/net/console.py
@@ -14,11 +14,12 @@
 
 log = logging.getLogger(__name__)
 
-CALLERS_MAX: Final = 24  # descriptors set aside for them: nobody else's run out, and theirs not by others
+# Descriptors set aside for callers that have not said all: of so many in all, or of this part of the limit.
+CALLERS_MAX, CALLERS_SHARE = 48, 1 / 8
 BACKLOG: Final = 256
 CALL_MAX: Final = 8 << 10  # bytes of one call, with its head
 DUE_MS: Final = 2_000.0  # a call that has not come whole by then is no call
-ACCEPTS: Final = 16  # a turn
+ACCEPTS: Final = 8  # a turn: who is accepted has some turns to be heard before others take its place
 TEXT: Final = (b"Content-Type: text/plain; version=0.0.4; charset=utf-8\r\n",)
 REASONS: Final = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
                   408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
@@ -63,57 +64,69 @@
 
 
 class Caller(asyncio.Protocol):
-    """One caller's connection."""
+    """One caller and its call. Most calls lie whole in the kernel when the caller is accepted, and are
+    answered then and there; the others wait for the rest as a connection of the loop."""
 
     def __init__(self, console: Console) -> None:
         self.console = console
         self.transport: asyncio.Transport | None = None
-        self.parser: HttpRequestParser | None = None
+        self.parser: HttpRequestParser | None = HttpRequestParser(self)
         self.url = b""
         self.size = 0
-        self.since = 0.0
-        self.answered = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        self.parser = HttpRequestParser(self)
-        self.since = self.console.operated.clock.now()
-        self.console.callers[self] = None
-
-    def data_received(self, data: bytes) -> None:
-        if self.answered or self.parser is None:
-            return
+        self.since = console.operated.clock.now()
+        self.due: Reply | None = None
+        self.unsent = b""  # of an answer that was longer than the kernel took at once
+
+    def feed(self, data: bytes) -> bytes:
+        """A part of the call; the answer, once it is due."""
+        if self.due is not None or self.parser is None:
+            return b""
         self.size += len(data)
         try:
             self.parser.feed_data(data)
         except HttpParserUpgrade:
             pass  # the call itself came whole
         except HttpParserError:
-            self.reply(Reply(400))
-        if self.size > CALL_MAX:
-            self.reply(Reply(413))
+            self.due = self.due or Reply(400)
+        if self.due is None and self.size > CALL_MAX:
+            self.due = Reply(413)
+        return b"" if self.due is None else written(self.due)
 
     def on_url(self, url: bytes) -> None:
         self.url += url
 
     def on_message_complete(self) -> None:
-        if self.answered or self.parser is None:
+        if self.due is not None or self.parser is None:
             return
         path = self.url.partition(b"?")[0].decode("latin-1")
         try:
-            self.reply(answer(self.console.operated, self.parser.get_method().decode(), path))
+            self.due = answer(self.console.operated, self.parser.get_method().decode(), path)
         except Exception:
             log.exception("a call failed")
-            self.reply(Reply(503))
+            self.due = Reply(503)
 
-    def reply(self, reply: Reply) -> None:
-        """The one answer, and the end of the connection."""
-        if self.answered or self.transport is None:
-            return
-        self.answered = True
-        self.transport.write(b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\nConnection: close\r\n\r\n%b" % (
-            reply.status, REASONS[reply.status], b"".join(reply.headers), len(reply.body), reply.body))
-        self.transport.close()
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self not in self.console.callers:
+            self.drop()  # room was made for others meanwhile
+        self.end(self.unsent)
+
+    def data_received(self, data: bytes) -> None:
+        self.end(self.feed(data))
+
+    def end(self, data: bytes) -> None:
+        """Writes the one answer, if it is due, and ends the connection."""
+        if data and self.transport is not None:
+            self.transport.write(data)
+            self.transport.close()
+
+    def late(self) -> None:
+        """The call has not come in time."""
+        if self.due is not None:
+            self.drop()  # it does not read its answer
+        else:
+            self.due = Reply(408)
+            self.end(written(self.due))
 
     def drop(self) -> None:
         """Waits no longer for what this caller may yet send."""
@@ -125,11 +138,22 @@
         self.console.callers.pop(self, None)
 
 
+def written(reply: Reply) -> bytes:
+    """An answer as it is sent."""
+    return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\nConnection: close\r\n\r\n%b" % (
+        reply.status, REASONS[reply.status], b"".join(reply.headers), len(reply.body), reply.body)
+
+
+def callers_of(sockets: int) -> int:
+    """How many callers a limit on descriptors leaves room for."""
+    return max(min(CALLERS_MAX, int(sockets * CALLERS_SHARE)), 4)
+
+
 class Console:
     """The listener and its callers, in the order in which they came."""
 
-    def __init__(self, operated: Operated, address: tuple[str, int]) -> None:
-        self.operated, self.address = operated, address
+    def __init__(self, operated: Operated, address: tuple[str, int], most: int = CALLERS_MAX) -> None:
+        self.operated, self.address, self.most = operated, address, most
         self.listener: socket.socket | None = None
         self.callers: dict[Caller, None] = {}
         self.adopting: set[asyncio.Task[Any]] = set()
@@ -150,22 +174,43 @@
             except OSError:  # nobody waits, or they went away again
                 return
             sock.setblocking(False)
-            task = self.operated.loop.create_task(self._adopt(sock))
-            self.adopting.add(task)
-            task.add_done_callback(self.adopting.discard)
-            self._make_room()
+            if not self._answered(sock, caller := Caller(self)):
+                self._make_room()
+                self.callers[caller] = None
+                task = self.operated.loop.create_task(self._adopt(sock, caller))
+                self.adopting.add(task)
+                task.add_done_callback(self.adopting.discard)
+
+    def _answered(self, sock: socket.socket, caller: Caller) -> bool:
+        """Answers at once what has come already; false where the rest must be waited for."""
+        try:
+            data = sock.recv(CALL_MAX)
+            due = caller.feed(data)
+            if data and not due:
+                return False
+            if due:
+                caller.unsent = due[sock.send(due) :]
+                if caller.unsent:
+                    return False
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        sock.close()
+        return True
 
     def _make_room(self) -> None:
         """One who says nothing must not keep out the others: who came first has had the longest time."""
-        while len(self.callers) + len(self.adopting) > CALLERS_MAX and self.callers:
+        if len(self.callers) >= self.most:
             first = next(iter(self.callers))
             del self.callers[first]
             first.drop()
 
-    async def _adopt(self, sock: socket.socket) -> None:
+    async def _adopt(self, sock: socket.socket, caller: Caller) -> None:
         try:
-            await self.operated.loop.connect_accepted_socket(lambda: Caller(self), sock)
+            await self.operated.loop.connect_accepted_socket(lambda: caller, sock)
         except OSError:
+            self.callers.pop(caller, None)
             sock.close()
 
     def sweep(self, now: float) -> None:
@@ -173,10 +218,7 @@
         for caller in list(self.callers):
             if now < caller.since + DUE_MS:
                 break
-            if caller.answered:
-                caller.drop()  # it does not read its answer
-            else:
-                caller.reply(Reply(408))
+            caller.late()
 
     def shut(self) -> None:
         """Closes the listener and all callers."""
--- a/notchflow/net/downstream.py
+++ b/notchflow/net/downstream.py
@@ -26,7 +26,9 @@
 BACKLOG = 4_096
 IDLE_MS = 75_000.0
 STALLED_MS = 10_000.0
-ARRIVE_MS = 2_000.0  # by when a request must have come whole: who says nothing, or half, keeps no descriptor
+# By when a request must have come whole: who says nothing, or half, keeps no descriptor. A head may take
+# 2 s; a body has as long as it needs at half the rate of the slowest clients, by what has come of it.
+ARRIVE_MS, BODY_RATE = 2_300.0, 32.0  # bytes a millisecond
 LINGER_MS = 2_000.0
 SERVED_SHARE = 0.75
 SLICE = 8 << 10  # a longer read is parsed in such pieces, so that the bounds on framing hold within it
@@ -451,6 +453,9 @@
             self.transport.write(b"0\r\n\r\n")
         self._answered(call, call.keep)
 
+    def _arrival_ms(self) -> float:
+        return ARRIVE_MS + (self.arriving.size / BODY_RATE if self.arriving is not None else 0.0)
+
     def close_if_over(self, now: float) -> None:
         if self.transport is None:
             return
@@ -460,7 +465,7 @@
             self.transport.abort()
         elif self.paused and quiet > STALLED_MS:
             self.transport.abort()
-        elif not busy and self.due_since is not None and now - self.due_since > ARRIVE_MS:
+        elif not busy and self.due_since is not None and now - self.due_since > self._arrival_ms():
             if self.arriving is not None and not self.closing:
                 self._fault(408)
                 self._step()
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -38,7 +38,7 @@
 from notchflow.logic import Balancer
 from notchflow.net.clock import Clock
 from notchflow.net.config import Config
-from notchflow.net.console import CALLERS_MAX, Console
+from notchflow.net.console import Console, callers_of
 from notchflow.net.discovery import Discovery
 from notchflow.net.downstream import Front
 from notchflow.net.exchange import Answer, Call, Door, Open
@@ -86,8 +86,8 @@
         self.timers = Calendar()
         self.armed: asyncio.TimerHandle | None = None
         self.armed_for = float("inf")
-        reserved = RESERVED + (CALLERS_MAX if config.console is not None else 0)
-        self.descriptors = self.descriptors_whole = max(config.sockets - reserved, 8)
+        callers = callers_of(config.sockets) if config.console is not None else 0
+        self.descriptors = self.descriptors_whole = max(config.sockets - RESERVED - callers, 8)
         self.used = 0
         self.held_max = self.held_whole = max(config.memory_mb - BASE_MB, 16.0) * HELD_SHARE * (1 << 20)
         self.held = 0
@@ -95,7 +95,7 @@
         self.stop_by = float("inf")
         self.duty = Duty()
         self.figures = Figures(self.classes)
-        self.console = Console(self, config.console) if config.console is not None else None
+        self.console = Console(self, config.console, callers) if config.console is not None else None
         self.front = Front(self, config.listen, door)
         self.front.inherited = config.accept_fd
         self.fronts = [self.front, *(Front(self, address, door) for address in config.also_listen)]
