Hosted service: console, and classes and fleet settings by SIGHUP

Need: classes, attempts and the fleet's settings waited for the next start of the hosted service; it had no figures and no way to send clients away.

Change: service.console opens the platform's console; SIGHUP goes through Host.reload, so that requests in hand keep their class. A test adds a class and a route to a running service, reads its figures and sends clients away.

--- a/notchflow/hosting/file.py
+++ b/notchflow/hosting/file.py
@@ -86,7 +86,8 @@
             name=self.service.name, listen=first, also_listen=tuple(others),
             discovery=parse_address(self.fleet.discovery) if self.fleet.discovery else None,
             seed=seed, settings=self.settings(), known=self.listing(), conn_idle_ms=self.fleet.idle_ms,
-            memory_mb=self.service.memory_mb, sockets=self.service.sockets)
+            memory_mb=self.service.memory_mb, sockets=self.service.sockets,
+            console=parse_address(self.service.console) if self.service.console else None)
 
 
 def load(path: Path) -> OperatorFile:
@@ -109,7 +110,7 @@
     fleet = _section(data, "fleet", FleetModel, None, faults)
     classes = _section(data, "classes", tuple[ClassModel, ...], None, faults)
     tenants = _section(data, "tenants", TenantsModel, {}, faults)
-    faults += _across(listeners, admin, fleet, classes, tenants)
+    faults += _across(service, listeners, admin, fleet, classes, tenants)
     if faults or None in (service, listeners, admin, fleet, classes, tenants):
         raise FileFaults(path, faults)
     assert service and listeners and admin and fleet and classes and tenants
@@ -153,13 +154,16 @@
     return []
 
 
-def _across(listeners: tuple[ListenerModel, ...] | None, admin: AdminModel | None, fleet: FleetModel | None,
-            classes: tuple[ClassModel, ...] | None, tenants: TenantsModel | None) -> list[Fault]:
+def _across(service: ServiceModel | None, listeners: tuple[ListenerModel, ...] | None,
+            admin: AdminModel | None, fleet: FleetModel | None, classes: tuple[ClassModel, ...] | None,
+            tenants: TenantsModel | None) -> list[Fault]:
     """What only shows where parts are seen together; parts that are wrong by themselves are left out."""
     faults: list[Fault] = []
     places: dict[str, str] = {}
     bound = [(f"listeners[{i}].address", entry.address) for i, entry in enumerate(listeners or ())]
     bound += [("admin.address", admin.address)] if admin is not None else []
+    if service is not None and service.console is not None:
+        bound.append(("service.console", service.console))
     if listeners == ():
         faults.append(Fault("listeners", "is empty; at least one is needed"))
     for place, address in bound:
--- a/notchflow/hosting/schema.py
+++ b/notchflow/hosting/schema.py
@@ -89,6 +89,7 @@
     sockets: int = Field(4096, ge=64, le=1 << 20)
     in_hand: int = Field(2048, ge=1, le=1_000_000)
     body_max: int = Field(64 << 10, ge=0, le=32 << 20)
+    console: Address | None = None
 
 
 class ListenerModel(Strict):
--- a/notchflow/hosting/service.py
+++ b/notchflow/hosting/service.py
@@ -193,29 +193,32 @@
             file = load(self.file.path)
         except FileFaults as error:
             log.error("the operator file stays as it was: %s", error)
+            self.host.figures.cfg_invalid += 1
             return []
         fixed = [name for name, old, new in (
             ("service.name", self.file.service.name, file.service.name),
             ("service.state", self.file.state, file.state),
             ("service.memory_mb", self.file.service.memory_mb, file.service.memory_mb),
             ("service.sockets", self.file.service.sockets, file.service.sockets),
+            ("service.console", self.file.service.console, file.service.console),
             ("listeners", self.file.listeners, file.listeners),
             ("admin.address", self.file.admin.address, file.admin.address),
             ("admin.head_max", self.file.admin.head_max, file.admin.head_max),
             ("admin.timeout_s", self.file.admin.timeout_s, file.admin.timeout_s),
             ("admin.connections", self.file.admin.connections, file.admin.connections),
-            ("classes", self.file.classes, file.classes),
-            ("fleet", replace_fleet(self.file), replace_fleet(file))) if old != new]
+            ("fleet", self.file.fleet.discovery is None, file.fleet.discovery is None)) if old != new]
         if fixed:
             log.warning("these wait for the next start: %s", ", ".join(fixed))
-        if file.classes == self.file.classes:  # routes name classes: new ones wait with them
-            self.directory.redefine(file.tenants.limits.core(), [r.core() for r in file.tenants.routes],
-                                    file.service.in_hand)
-            self.operations.defaults = defaults(file)
-        else:
-            fixed.append("tenants")
-            log.warning("tenants.* waits for the next start, as it names classes")
-        self.door.face = replace(self.door.face, body_max=file.service.body_max)
+        old, fresh = self.host.config, file.config(self.host.config.seed)
+        # A class must be known to the module before a route leads to it; requests in hand keep theirs.
+        self.host.reload(replace(
+            fresh, name=old.name, listen=old.listen, also_listen=old.also_listen, console=old.console,
+            memory_mb=old.memory_mb, sockets=old.sockets,
+            discovery=old.discovery if "fleet" in fixed else fresh.discovery))
+        self.directory.redefine(file.tenants.limits.core(), [r.core() for r in file.tenants.routes],
+                                file.service.in_hand)
+        self.operations.defaults = defaults(file)
+        self.door.face = face(file)
         self.admin.bounded.bounds = replace(
             self.admin.bounded.bounds, body_max=file.admin.body_max, rate_per_s=file.admin.rate_per_s,
             burst=file.admin.burst)
@@ -227,21 +230,20 @@
     def _in_force(self, file: OperatorFile) -> OperatorFile:
         """What holds now: of the new file only what was taken over."""
         old = self.file
+        moved = (old.fleet.discovery is None) == (file.fleet.discovery is None)
+        kept = {"boxes": old.fleet.boxes, "discovery": old.fleet.discovery}
         return replace(
-            old, tenants=file.tenants if file.classes == old.classes else old.tenants,
+            old, tenants=file.tenants, classes=file.classes,
             service=old.service.model_copy(update={"in_hand": file.service.in_hand,
                                                    "body_max": file.service.body_max}),
             admin=old.admin.model_copy(update={"body_max": file.admin.body_max, "burst": file.admin.burst,
                                                "rate_per_s": file.admin.rate_per_s}),
-            fleet=old.fleet.model_copy(update={"boxes": file.fleet.boxes, "discovery": file.fleet.discovery})
-            if (old.fleet.discovery is None) == (file.fleet.discovery is None) else old.fleet)
+            fleet=file.fleet if moved else file.fleet.model_copy(update=kept))
 
     def _move(self, file: OperatorFile) -> None:
         if (file.fleet.discovery is None) != (self.file.fleet.discovery is None):
             return  # from one to the other needs a start
-        if file.fleet.discovery is not None:
-            self.host.discovery.move(parse_address(file.fleet.discovery))
-        elif file.fleet.boxes != self.file.fleet.boxes:
+        if file.fleet.discovery is None and file.fleet.boxes != self.file.fleet.boxes:
             self.host.apply(file.listing(), ListKind.FULL)
 
     def stop(self) -> None:
@@ -259,11 +261,6 @@
         self.db.close()
 
 
-def replace_fleet(file: OperatorFile) -> object:
-    """What of the fleet only a start can change: all but where its boxes are."""
-    return file.fleet.model_copy(update={"boxes": [], "discovery": file.fleet.discovery is None})
-
-
 def _write_secret(path: Path, text: str) -> None:
     """A file that only its owner reads, whatever was there."""
     with contextlib.suppress(FileNotFoundError):
--- a/tests/hosting/test_service.py
+++ b/tests/hosting/test_service.py
@@ -10,8 +10,9 @@
 import time
 from pathlib import Path
 
+from standins.ports import free_ports
 from tests.hosting.rig import Held, Service
-from tests.rig import Seen, run, serve_value, until
+from tests.rig import Seen, read_message, run, serve_value, until
 
 LONG = 60.0
 
@@ -320,6 +321,48 @@
     run(test(), LONG)
 
 
+def test_classes_change_at_sighup_and_the_console_tells(tmp_path: Path) -> None:
+    async def call(port: int, method: str, path: str) -> Seen:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(f"{method} {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+        seen = await read_message(reader)
+        writer.close()
+        assert seen is not None
+        return seen
+
+    async def test() -> None:
+        console, = free_ports(1)
+        async with Service(tmp_path, service=f'console = "127.0.0.1:{console}"') as service:
+            await service.add("alfa")
+            assert (await service.ask("alfa", path="/menus/d1")).status == 200
+            text = service.file.read_text()
+            service.file.write_text(text + """
+[[classes]]
+name = "fresh"
+aim_ms = 500.0
+deadline_ms = 900.0
+effect = "safe"
+
+[[tenants.routes]]
+method = "GET"
+path = "/fresh/{day}"
+class = "fresh"
+""")
+            service.signal(signal.SIGHUP)
+            await until(lambda: "was taken over" in service.log)
+            assert "wait for the next start" not in service.log
+            assert (await service.ask("alfa", path="/fresh/d1")).status == 200
+            figures = (await call(console, "GET", "/status/metrics")).body.decode()
+            assert 'svc_operations{priority="fresh",status="fulfilled"} 1\n' in figures
+            assert "svc_cfg_accepted 1\n" in figures
+            assert (await call(console, "POST", "/standby")).status == 200
+            asked = await service.ask("alfa", path="/menus/d1")
+            assert (asked.status, asked.headers["connection"]) == (200, "close")
+            assert (await call(console, "POST", "/active")).status == 200
+
+    run(test(), LONG)
+
+
 def test_sigterm_answers_what_is_in_hand_and_ends_with_nothing(tmp_path: Path) -> None:
     hold = Held()
     held = hold.requests
