Two processes pass on what they are told: the list's changes, standby and active

A box told to drain to one must get nothing new from the other within the grace, and a front may get its readiness from either.

Change: entries of the list, standby and active go over the link; clients are bounded by the whole limit, as those handed over are the same ones. Tests: a drain and a standby heard by the other, three processes in a row, new settings and a list out of reach in the midst.

--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -83,6 +83,7 @@
             return
         self.revision = listing.revision
         self.host.apply(listing, ListKind.FULL if listing.complete else ListKind.DELTA)
+        self.host.pass_on(listing)
         wait = self.called_at + SPACING_MS - self.host.clock.now()
         if wait > 0:
             self.host.at(self.called_at + SPACING_MS, self._call)
--- a/notchflow/net/downstream.py
+++ b/notchflow/net/downstream.py
@@ -519,7 +519,7 @@
     def _room(self) -> bool:
         host = self.host
         count = len(self.clients) + len(self.adopting)
-        if host.used < host.descriptors and count < SERVED_SHARE * host.descriptors:
+        if host.used < host.descriptors and count < SERVED_SHARE * host.descriptors_whole:
             return True
         return self.close_idle()
 
--- a/notchflow/net/exchange.py
+++ b/notchflow/net/exchange.py
@@ -186,6 +186,9 @@
 
     def apply(self, listing: Listing, kind: ListKind) -> None: ...
 
+    def pass_on(self, listing: Listing) -> None:
+        """Tells other processes of this proxy what discovery told this one."""
+
 
 class Gatekeeper(Protocol):
     """What clients' connections need of the host."""
@@ -195,7 +198,8 @@
     held: int
     held_max: float
     used: int
-    descriptors: int
+    descriptors: int  # that may be in use now; another process may have the rest for a while
+    descriptors_whole: int
     duty: Duty
     figures: Figures
 
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -136,8 +136,27 @@
         """What the process that takes over is told."""
         members = [encode_member(*entry) for entry in self.listed.values()]
         return {"listing": {"revision": self.discovery.revision or 0, "complete": True, "members": members},
+                "standby": self.duty.phase is Phase.STANDBY,
                 "learned": self.balancer.learned(self.clock.now())}
 
+    def pass_on(self, listing: Listing) -> None:
+        """Tells other processes of this proxy what discovery told this one: the rules see one proxy."""
+        if self.succession is None or not self.succession.links or not listing.members:
+            return
+        names, addresses = listing.names or {}, listing.addresses or {}
+        members = [encode_member(names[m.node], addresses[m.node], m) for m in listing.members]
+        changes = {"revision": listing.revision, "complete": False, "members": members}
+        self.succession.tell({"listing": changes})
+
+    def hear(self, news: dict[str, Any]) -> None:
+        """What another process of this proxy was told. Its entries leave the own revision as it is."""
+        if "listing" in news:
+            self.apply(decode_listing(news["listing"]), ListKind.DELTA)
+        elif news["duty"] == Phase.STANDBY.value:
+            self._stand_by()
+        else:
+            self.duty.active(self.clock.now())
+
     def _inherit(self, state: dict[str, Any]) -> bool:
         """Begins with what the process before this one tells, unless the list that is known is newer."""
         try:
@@ -146,6 +165,8 @@
                 listing = self.config.known
             self.apply(listing, ListKind.CACHED)
             self.discovery.revision = listing.revision
+            if state.get("standby"):
+                self._stand_by()
             self.balancer.learn(self.clock.now(), state["learned"])
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             log.warning("what the process before this one told is malformed: %r", error)
@@ -218,6 +239,11 @@
 
     def standby(self) -> bool:
         """Sends clients away, until `active`; whether that is done now."""
+        if self.succession is not None:
+            self.succession.tell({"duty": Phase.STANDBY.value})
+        return self._stand_by()
+
+    def _stand_by(self) -> bool:
         begun, now = self.duty.phase is Phase.ACTIVE, self.clock.now()
         done = self.duty.standby(now)
         if begun:
@@ -227,6 +253,8 @@
 
     def active(self) -> bool:
         """Back to work; whether that is done now."""
+        if self.succession is not None:
+            self.succession.tell({"duty": Phase.ACTIVE.value})
         return self.duty.active(self.clock.now())
 
     def _send_away(self, _: object = None) -> None:
--- a/notchflow/net/succession.py
+++ b/notchflow/net/succession.py
@@ -41,6 +41,10 @@
     def state(self) -> dict[str, Any]:
         """What the process that takes over is told."""
 
+    def hear(self, news: dict[str, Any]) -> None:
+        """What another process passes on: entries of the list, or that clients are sent away or wanted again.
+        A ValueError, TypeError or KeyError says that it is malformed."""
+
     def divide(self, shares: Shares) -> None:
         """Keeps to its part of the limits from now on."""
 
@@ -126,12 +130,15 @@
                 self._heard(state)
         except BlockingIOError:
             return
-        except (OSError, HandoverError, ValueError, TypeError) as error:
+        except (OSError, HandoverError, ValueError, TypeError, KeyError) as error:
             self.close(str(error))
 
     def _heard(self, state: dict[str, Any]) -> None:
         if "used" in state:
             self.succession.told(self, float(state["used"]), float(state["held"]))
+        if "news" in state:
+            self.succession.owner.hear(state["news"])
+            self.succession.tell(state["news"], self)  # processes link in a row, so that none hears twice
         for _ in range(min(int(state.get("clients", 0)), len(self.descriptors))):
             self.succession.owner.welcome(socket.socket(fileno=self.descriptors.popleft()))
 
@@ -233,6 +240,12 @@
                 link.send({"used": used, "held": held})
             self.owner.at(self.owner.clock.now() + REPORT_MS, self._report)
 
+    def tell(self, news: dict[str, Any], source: Link | None = None) -> None:
+        """Passes on to the other processes what was told to this one."""
+        for link in list(self.links):
+            if link is not source:
+                link.send({"news": news})
+
     def told(self, link: Link, used: float, held: float) -> None:
         """What another process uses."""
         self.shares.told(link, used, held)
--- a/tests/operations/test_handover.py
+++ b/tests/operations/test_handover.py
@@ -13,11 +13,12 @@
 
 import pytest
 
-from notchflow.interface import Outcome, Status
+from notchflow.interface import Outcome, RequestClass, State, Status
 from notchflow.net.host import Host
+from notchflow.net.listing import node_id
 from notchflow.net.succession import Place, Succession
 from notchflow.operations.handover import FORMAT, HEAD, MAGIC, HandoverError, Reader, Shares, pack
-from tests.helpers import ask, make_balancer, sends
+from tests.helpers import ask, make_balancer, make_settings, sends
 from tests.rig import Rig, Seen, answer, run, serve_value, until
 
 ANY = ("127.0.0.1", 0)
@@ -228,6 +229,50 @@
     replaced(tmp_path, test)
 
 
+def test_what_one_process_is_told_the_other_hears(tmp_path: Path) -> None:
+    """The rules see one proxy: a box that drains, and operators who send clients away."""
+    async def test(rig: Rig, folder: Path, listener: socket.socket) -> None:
+        _, writer = await rig.calls.get()
+        new = successor(rig, folder, listener)
+        await start_after(new)
+        await until(lambda: rig.host.succession and rig.host.succession.links)
+        draining = node_id("s-0")
+        writer.write(rig.listing(42, False, [rig.entry(0, phase="draining")]))
+        await until(lambda: new.listed[draining][2].state is State.DRAINING)
+        assert new.discovery.revision == 41, "its own watch goes on from where it was"
+        assert new.standby() and new.duty.away
+        await until(lambda: rig.host.duty.away)
+        third = successor(rig, folder, listener)
+        await start_after(third)
+        assert third.duty.away, "who starts beside one on standby is on standby"
+        assert rig.host.active()
+        await until(lambda: not new.duty.away and not third.duty.away)
+        close(third)
+        close(new)
+
+    replaced(tmp_path, test)
+
+
+def test_new_settings_and_a_list_that_is_out_of_reach_in_the_midst(tmp_path: Path) -> None:
+    async def test(rig: Rig, folder: Path, listener: socket.socket) -> None:
+        client = await rig.connect()
+        await client.ask()
+        rig.discovery.stop()
+        new = successor(rig, folder, listener)
+        await start_after(new)
+        settings = make_settings(classes=(RequestClass("fresh", 5_000, 5_000),))
+        for host in (rig.host, new):
+            host.reload(replace(host.config, settings=settings))
+        ended = stopped(rig.host)
+        rig.host.stop()
+        await until(lambda: ended and new.front.clients)
+        assert (await client.ask(x_call_class="fresh")).status == 200
+        assert (await client.ask(x_call_class="read")).status == 503
+        close(new)
+
+    replaced(tmp_path, test)
+
+
 def test_two_replacements_in_a_row(tmp_path: Path) -> None:
     async def test(rig: Rig, folder: Path, listener: socket.socket) -> None:
         client = await rig.connect()
