--- a/notchflow/hosting/service.py
+++ b/notchflow/hosting/service.py
@@ -206,7 +206,7 @@
             ("admin.head_max", self.file.admin.head_max, file.admin.head_max),
             ("admin.timeout_s", self.file.admin.timeout_s, file.admin.timeout_s),
             ("admin.connections", self.file.admin.connections, file.admin.connections),
-            ("fleet", self.file.fleet.discovery is None, file.fleet.discovery is None)) if old != new]
+            ("fleet", listed(self.file), listed(file))) if old != new]
         if fixed:
             log.warning("these wait for the next start: %s", ", ".join(fixed))
         old, fresh = self.host.config, file.config(self.host.config.seed)
@@ -230,7 +230,6 @@
     def _in_force(self, file: OperatorFile) -> OperatorFile:
         """What holds now: of the new file only what was taken over."""
         old = self.file
-        moved = (old.fleet.discovery is None) == (file.fleet.discovery is None)
         kept = {"boxes": old.fleet.boxes, "discovery": old.fleet.discovery}
         return replace(
             old, tenants=file.tenants, classes=file.classes,
@@ -238,12 +237,10 @@
                                                    "body_max": file.service.body_max}),
             admin=old.admin.model_copy(update={"body_max": file.admin.body_max, "burst": file.admin.burst,
                                                "rate_per_s": file.admin.rate_per_s}),
-            fleet=file.fleet if moved else file.fleet.model_copy(update=kept))
+            fleet=file.fleet if listed(old) == listed(file) else file.fleet.model_copy(update=kept))
 
     def _move(self, file: OperatorFile) -> None:
-        if (file.fleet.discovery is None) != (self.file.fleet.discovery is None):
-            return  # from one to the other needs a start
-        if file.fleet.discovery is None and file.fleet.boxes != self.file.fleet.boxes:
+        if listed(file) and listed(self.file) and file.fleet.boxes != self.file.fleet.boxes:
             self.host.apply(file.listing(), ListKind.FULL)
 
     def stop(self) -> None:
@@ -261,6 +258,11 @@
         self.db.close()
 
 
+def listed(file: OperatorFile) -> bool:
+    """Whether the fleet is a fixed list; from that to discovery, or back, needs a start."""
+    return file.fleet.discovery is None
+
+
 def _write_secret(path: Path, text: str) -> None:
     """A file that only its owner reads, whatever was there."""
     with contextlib.suppress(FileNotFoundError):
--- a/notchflow/logic.py
+++ b/notchflow/logic.py
@@ -9,7 +9,7 @@
 import hashlib
 import math
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable, Mapping
 from heapq import heappop, heappush
 from typing import Any, Final
@@ -109,6 +109,10 @@
         self.compared = 0.0
         self.seen = 0.0
 
+    def fit(self, rate: float) -> None:
+        """The FIFO spans as much time at any rate (requests a millisecond)."""
+        self.capacity = int(min(max(rate * FIFO_MS, FIFO_MIN), FIFO_MAX))
+
     def observe(self, key: str) -> None:
         self.seen += 1
         if key in self.historical:
@@ -640,9 +644,8 @@
         topk.compared, topk.seen = float(told["topk"]["compared"]), float(told["topk"]["seen"])
         if topk.historical.keys() != topk.prior.keys():
             raise ValueError("the historical list has keys without their rates")
-        for key in [str(key) for key in told["topk"]["fifo"]][-FIFO_MAX:]:
-            topk.fifo.append(key)
-            topk.held[key] = topk.held.get(key, 0) + 1
+        topk.fifo = [str(key) for key in told["topk"]["fifo"]][-FIFO_MAX:]
+        topk.held = dict(Counter(topk.fifo))
         spread = {str(key): (int(width), now) for key, width in told["spread"].items()}
         health = [(self.fleet.nodes.get(int(node)), int(fails), float(out), float(pause), bool(trial))
                   for node, (fails, out, pause, trial) in told["health"].items()]
@@ -650,7 +653,7 @@
         self.threshold.history.extend(load)
         self.threshold.load = load[-1] if load else 0.0
         self.rate, self.mean_cost, self.topk = rate, cost, topk
-        topk.capacity = int(min(max(rate * FIFO_MS, FIFO_MIN), FIFO_MAX))
+        topk.fit(rate)
         self.spread, self.factoring = spread, bool(told["factoring"])
         for node, fails, out, pause, trial in health:
             if node is not None:
@@ -670,12 +673,11 @@
             self._other(now, event)
         return actions
 
-    def listed(self, now: float) -> tuple[int, int]:
-        """How many servers the list names, and how many of them get no requests now: they drain, are ejected
-        until later, or are still on trial."""
-        known = [n for n in self.fleet.nodes.values() if n.member.state is not State.GONE]
-        avoided = sum(n.member.state is not READY or not self.fleet.healthy(n, now) for n in known)
-        return len(known), avoided
+    def avoided(self, now: float) -> int:
+        """How many servers of the list get no requests now: they drain, are ejected until later, or are still
+        on trial."""
+        return sum(n.member.state is not READY or not self.fleet.healthy(n, now)
+                   for n in self.fleet.nodes.values() if n.member.state is not State.GONE)
 
     def _other(self, now: float, event: Event) -> None:
         match event:
@@ -725,7 +727,7 @@
         self.arrivals, self.sampled_at = 0, now
         self.fleet.tick(now)
         self.throttle.fade()
-        self.topk.capacity = int(min(max(self.rate * FIFO_MS, FIFO_MIN), FIFO_MAX))
+        self.topk.fit(self.rate)
         if now >= self.aged_at + AGE_MS:
             self.aged_at = now
             self.topk.age()
--- a/notchflow/net/console.py
+++ b/notchflow/net/console.py
@@ -10,7 +10,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from notchflow.net.clock import Clock
-from notchflow.net.exchange import Reply
+from notchflow.net.exchange import REASONS, Reply
 
 log = logging.getLogger(__name__)
 
@@ -21,9 +21,6 @@
 DUE_MS: Final = 2_000.0  # a call that has not come whole by then is no call
 ACCEPTS: Final = 8  # a turn: who is accepted has some turns to be heard before others take its place
 TEXT: Final = (b"Content-Type: text/plain; version=0.0.4; charset=utf-8\r\n",)
-REASONS: Final = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-                  408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
-                  503: b"Service Unavailable"}
 STATUS, METRICS, STANDBY, ACTIVE = "/status", "/status/metrics", "/standby", "/active"
 METHODS: Final = {STATUS: "GET", METRICS: "GET", STANDBY: "POST", ACTIVE: "POST"}
 
--- a/notchflow/net/downstream.py
+++ b/notchflow/net/downstream.py
@@ -13,7 +13,7 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
-from notchflow.net.exchange import HOP_BY_HOP, Answer, Call, Door, Gatekeeper, Reply
+from notchflow.net.exchange import HOP_BY_HOP, REASONS, Answer, Call, Door, Gatekeeper, Reply
 
 log = logging.getLogger(__name__)
 
@@ -50,11 +50,6 @@
 PLAIN = re.compile(rb"/api/(?:[A-Za-z0-9_~-]+/)*([A-Za-z0-9_~-]+)")
 FRAMING = frozenset({b"connection", b"transfer-encoding"})
 DOTS = frozenset({b".", b".."})
-REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-           401: b"Unauthorized", 403: b"Forbidden",
-           408: b"Request Timeout", 413: b"Content Too Large",
-           429: b"Too Many Requests", 431: b"Request Header Fields Too Large", 501: b"Not Implemented",
-           502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
 
 
 class Client(asyncio.Protocol):
@@ -525,13 +520,16 @@
 
     def close_idle(self) -> bool:
         for client in self.idle:
-            del self.idle[client]
-            client.closing = True
-            if client.transport is not None:
-                client.transport.close()
+            self._let_go(client)
             return True
         return False
 
+    def _let_go(self, client: Client) -> None:
+        del self.idle[client]
+        client.closing = True
+        if client.transport is not None:
+            client.transport.close()
+
     def _accept(self) -> None:
         listener = self.listener
         self.backlog_empty = False
@@ -602,10 +600,7 @@
         """Closes connections that carry nothing and are not to be held while clients are sent away."""
         still = [c for c in self.idle if self.host.duty.overstays(now, c.active_at)]
         for client in still:
-            del self.idle[client]
-            client.closing = True
-            if client.transport is not None:
-                client.transport.close()
+            self._let_go(client)
 
     def lost(self, client: Client) -> None:
         self.clients.pop(client, None)
--- a/notchflow/net/exchange.py
+++ b/notchflow/net/exchange.py
@@ -18,6 +18,11 @@
 HOP_BY_HOP = frozenset({b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
                         b"transfer-encoding", b"content-length", b"proxy-authenticate",
                         b"proxy-authorization"})
+REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+           401: b"Unauthorized", 403: b"Forbidden",
+           408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
+           429: b"Too Many Requests", 431: b"Request Header Fields Too Large", 501: b"Not Implemented",
+           502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
 
 
 class Answer:
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -71,10 +71,7 @@
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, door: Door | None = None) -> None:
         self.config, self.loop = config, loop
         self.clock = Clock(loop)
-        self.settings = config.settings
         self.balancer = Balancer(config.settings, config.seed, self.clock.now())
-        self.classes = {c.name: c.deadline_ms for c in config.settings.classes}
-        self.longest_ms = max(self.classes.values())
         self.idle_limit = IdleLimit(config.conn_idle_ms)
         self.open: dict[int, Open] = {}
         self.numbers = 0
@@ -82,7 +79,6 @@
         self.inbox: deque[Event] = deque()
         self.telling = False
         self.now = 0.0  # when the module was last asked: what it decided begins then
-        self.max_attempts = config.settings.limits.max_attempts
         self.timers = Calendar()
         self.armed: asyncio.TimerHandle | None = None
         self.armed_for = float("inf")
@@ -94,7 +90,8 @@
         self.answer_by = float("inf")  # no request is held longer than this, once the process is to end
         self.stop_by = float("inf")
         self.duty = Duty()
-        self.figures = Figures(self.classes)
+        self.figures = Figures()
+        self._take_over(config)
         self.console = Console(self, config.console, callers) if config.console is not None else None
         self.front = Front(self, config.listen, door)
         self.front.inherited = config.accept_fd
@@ -266,8 +263,8 @@
 
     def report(self) -> str:
         """The figures as they are now."""
-        listed, avoided = self.balancer.listed(self.clock.now())
-        return self.figures.text({"registry_entries": listed, "out_of_rotation": avoided})
+        return self.figures.text({"registry_entries": len(self.listed),
+                                  "out_of_rotation": self.balancer.avoided(self.clock.now())})
 
     def _drain(self, _: object = None) -> None:
         now = self.clock.now()
--- a/notchflow/net/succession.py
+++ b/notchflow/net/succession.py
@@ -172,8 +172,9 @@
         self.shares = Shares()
         self.links: list[Link] = []
         self.listener: socket.socket | None = None
-        self.inherited: tuple[socket.socket, bool, Reader] | None = None
+        self.inherited: tuple[socket.socket, Reader] | None = None
         self.leaving = False
+        self.reporting = False  # the timer of the next report is set
 
     def ask(self) -> dict[str, Any] | None:
         """What the process that runs tells, if there is one; waits for it, as this one serves nobody yet."""
@@ -185,7 +186,7 @@
             while data := sock.recv(PIECE):
                 states = reader.feed(data)
                 if states:
-                    self.inherited = sock, False, reader
+                    self.inherited = sock, reader
                     return states[0]
             log.warning("the process before this one ended in the midst of its handover")
         except (OSError, HandoverError) as error:
@@ -196,8 +197,8 @@
     def begin(self) -> None:
         """This process serves: the next one finds it here, and the one before knows that it runs."""
         if self.inherited is not None:
-            link, self.inherited = Link(self, *self.inherited), None
-            self._joined(link)
+            (sock, reader), self.inherited = self.inherited, None
+            self._joined(Link(self, sock, False, reader))
         self._listen()
 
     def _listen(self) -> None:
@@ -229,22 +230,25 @@
         self.links.append(link)
         self.shares.joined(link)
         self.owner.divide(self.shares)
-        if len(self.links) == 1:
+        if not self.reporting:
             self._report()
 
     def _report(self, _: object = None) -> None:
         """Tells the others what this process uses, as long as there are any."""
-        if self.links:
+        self.reporting = bool(self.links)
+        if self.reporting:
             used, held = self.owner.usage()
-            for link in self.links:
-                link.send({"used": used, "held": held})
+            self._send({"used": used, "held": held})
             self.owner.at(self.owner.clock.now() + REPORT_MS, self._report)
 
     def tell(self, news: dict[str, Any], source: Link | None = None) -> None:
         """Passes on to the other processes what was told to this one."""
-        for link in list(self.links):
-            if link is not source:
-                link.send({"news": news})
+        self._send({"news": news}, source)
+
+    def _send(self, state: dict[str, Any], but: Link | None = None) -> None:
+        for link in list(self.links):  # one that has ended leaves the list as it is written to
+            if link is not but:
+                link.send(state)
 
     def told(self, link: Link, used: float, held: float) -> None:
         """What another process uses."""
--- a/notchflow/operations/duty.py
+++ b/notchflow/operations/duty.py
@@ -61,7 +61,7 @@
 
     def deserted(self) -> None:
         """The one that was to take over has ended: clients are to go elsewhere after all."""
-        self.away = self.phase is not Phase.ACTIVE
+        self.away = True
 
     def overstays(self, now: float, still_since: float) -> bool:
         """Whether a connection that carries nothing since then is to be closed, on standby."""
--- a/notchflow/operations/figures.py
+++ b/notchflow/operations/figures.py
@@ -45,7 +45,7 @@
 class Figures:
     """The counts of all classes. A class that has vanished from the settings keeps its counts."""
 
-    def __init__(self, classes: Iterable[str]) -> None:
+    def __init__(self, classes: Iterable[str] = ()) -> None:
         self.classes: dict[str, ClassCounts] = {}
         self.cfg_accepted = self.cfg_invalid = 0
         self.know(classes)
--- a/tests/operations/test_handover.py
+++ b/tests/operations/test_handover.py
@@ -90,12 +90,16 @@
     assert new.learned(0) == before
 
 
-def successor(rig: Rig, folder: Path, listener: socket.socket) -> Host:
-    """Another process of the same proxy, but for the process."""
+async def successor(rig: Rig, folder: Path, listener: socket.socket) -> Host:
+    """Another process of the same proxy, but for the process: it waits for the one that runs, which here runs
+    on this very loop."""
     config = replace(rig.host.config, accept_fd=os.dup(listener.fileno()),
                      known=replace(rig.host.config.known, revision=0, members=()))
     host = Host(config, rig.host.loop)
-    host.succession = Succession(host, str(folder), "n0")
+    succession = host.succession = Succession(host, str(folder), "n0")
+    state = await asyncio.get_running_loop().run_in_executor(None, succession.ask)
+    succession.ask = lambda: state  # type: ignore[method-assign]
+    host.start()
     return host
 
 
@@ -115,15 +119,6 @@
     return ended
 
 
-async def start_after(host: Host) -> None:
-    """Starts it as a process would: it waits for the other one, which runs on this very loop."""
-    assert host.succession is not None
-    succession, loop = host.succession, asyncio.get_running_loop()
-    state = await loop.run_in_executor(None, succession.ask)
-    succession.ask = lambda: state  # type: ignore[method-assign]
-    host.start()
-
-
 Test = Callable[[Rig, Path, socket.socket], Any]
 
 
@@ -170,8 +165,7 @@
         busy.send()
         half.writer.write(b"GET /api/00000000000000aa HTTP/1.1\r\nX-Call-Id: 1\r\n")
         await until(lambda: rig.host.figures.open == 1 and any(c.arriving for c in rig.host.front.clients))
-        new = successor(rig, folder, listener)
-        await start_after(new)
+        new = await successor(rig, folder, listener)
         assert len(new.listed) == 2 and new.discovery.revision == 41, "the list came from the old process"
         ended = stopped(rig.host)
         rig.host.stop()
@@ -197,15 +191,13 @@
 def test_where_the_new_process_dies_the_old_goes_on(tmp_path: Path) -> None:
     async def test(rig: Rig, folder: Path, listener: socket.socket) -> None:
         whole = rig.host.descriptors
-        first = successor(rig, folder, listener)
-        await start_after(first)
+        first = await successor(rig, folder, listener)
         await until(lambda: rig.host.succession and rig.host.succession.links)
         assert rig.host.descriptors < whole
         close(first)
         await until(lambda: rig.host.succession and not rig.host.succession.links)
         assert rig.host.descriptors == whole and (await rig.ask()).status == 200
-        second = successor(rig, folder, listener)
-        await start_after(second)
+        second = await successor(rig, folder, listener)
         assert len(second.listed) == 2, "the old process can be found again"
         close(second)
 
@@ -214,8 +206,7 @@
 
 def test_where_the_new_process_dies_in_the_midst_clients_are_sent_elsewhere(tmp_path: Path) -> None:
     async def test(rig: Rig, folder: Path, listener: socket.socket) -> None:
-        new = successor(rig, folder, listener)
-        await start_after(new)
+        new = await successor(rig, folder, listener)
         held = await rig.connect()
         held.writer.write(b"GET /api/00000000000000aa HTTP/1.1\r\nX-Call-Id: 1\r\n")
         await until(lambda: any(c.arriving for h in (rig.host, new) for c in h.front.clients))
@@ -233,8 +224,7 @@
     """The rules see one proxy: a box that drains, and operators who send clients away."""
     async def test(rig: Rig, folder: Path, listener: socket.socket) -> None:
         _, writer = await rig.calls.get()
-        new = successor(rig, folder, listener)
-        await start_after(new)
+        new = await successor(rig, folder, listener)
         await until(lambda: rig.host.succession and rig.host.succession.links)
         draining = node_id("s-0")
         writer.write(rig.listing(42, False, [rig.entry(0, phase="draining")]))
@@ -242,8 +232,7 @@
         assert new.discovery.revision == 41, "its own watch goes on from where it was"
         assert new.standby() and new.duty.away
         await until(lambda: rig.host.duty.away)
-        third = successor(rig, folder, listener)
-        await start_after(third)
+        third = await successor(rig, folder, listener)
         assert third.duty.away, "who starts beside one on standby is on standby"
         assert rig.host.active()
         await until(lambda: not new.duty.away and not third.duty.away)
@@ -258,8 +247,7 @@
         client = await rig.connect()
         await client.ask()
         rig.discovery.stop()
-        new = successor(rig, folder, listener)
-        await start_after(new)
+        new = await successor(rig, folder, listener)
         settings = make_settings(classes=(RequestClass("fresh", 5_000, 5_000),))
         for host in (rig.host, new):
             host.reload(replace(host.config, settings=settings))
@@ -277,13 +265,11 @@
     async def test(rig: Rig, folder: Path, listener: socket.socket) -> None:
         client = await rig.connect()
         await client.ask()
-        second = successor(rig, folder, listener)
-        await start_after(second)
+        second = await successor(rig, folder, listener)
         ended = stopped(rig.host)
         rig.host.stop()
         await until(lambda: ended and second.front.clients)
-        third = successor(rig, folder, listener)
-        await start_after(third)
+        third = await successor(rig, folder, listener)
         ended = stopped(second)
         second.stop()
         await until(lambda: ended and third.front.clients)
@@ -300,15 +286,13 @@
         other.mkdir()
         stale = Place(str(other), "n0")
         stale.listen().close()
-        host = successor(rig, other, listener)
-        await start_after(host)
+        host = await successor(rig, other, listener)
         assert not host.listed, "nobody is there: it begins with what is known, here nothing"
         close(host)
         liar = Place(str(other), "n0").listen()
-        host = successor(rig, other, listener)
-        asking = asyncio.create_task(start_after(host))
+        asking = asyncio.create_task(successor(rig, other, listener))
         await until(lambda: not _would_block(liar, b"nonsense of some length"))
-        await asking
+        host = await asking
         assert not host.listed
         close(host)
         liar.close()
