A file that changes only the idle time of connections is taken over as well

Cause: Host.reload took nothing over where the module's settings were equal, and Limits.ConnIdleMs is none of them: it waited for a reload that changed something else. Now what the host holds is always taken over, and the module is told where its settings differ. The new test failed before.

--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -121,8 +121,9 @@
         if config.listen != self.config.listen or config.console != self.config.console:
             log.warning("a new address to listen on waits for the next start")
         self.figures.cfg_accepted += 1
-        if config.settings != self.settings:
-            self._take_over(config)
+        changed = config.settings != self.settings
+        self._take_over(config)
+        if changed:
             self.tell(Retune(config.settings))
         self.config = config
         if config.discovery is not None:
--- a/tests/operations/test_settings.py
+++ b/tests/operations/test_settings.py
@@ -109,6 +109,16 @@
     assert len([r for r in caplog.records if r.name == "notchflow.__main__"]) == len(BROKEN)
 
 
+def test_a_time_that_only_connections_know_is_taken_over() -> None:
+    """Guards against a file that states nothing else anew: the module's settings are equal then."""
+    async def test() -> None:
+        async with Rig() as rig:
+            rig.host.reload(replace(rig.host.config, conn_idle_ms=2_000.0))
+            assert rig.host.idle_limit.stated_ms == rig.host.idle_limit.ms == 1_400.0
+
+    run(test())
+
+
 def test_a_request_under_way_keeps_its_class_when_that_vanishes() -> None:
     async def test() -> None:
         held: list[asyncio.StreamWriter] = []
