No client about to ask is closed for room, and passed connections count at once

Cause: in one replacement in ten or so hundreds of requests were lost at the door within a second. Out of room, each accepted connection closed the one accepted before it, as a fresh one counted as idle; its client came back at once.

Change: frames that come along with the handover are heard; what passes is counted at both ends in that moment; a connection makes room only when still for 100 ms with nothing unread in the kernel, else accepting pauses (the queue of the listener loses nothing); idle connections to boxes pass to the new process too, where it says that it takes them.

Measured: the new tests fail on the former code (60 clients, most closed unread; one closed with its request in the kernel). Ruled out: the queue of the listening socket, the loop's turns, the platform's limit itself (230 of 384 at most).

--- a/notchflow/net/downstream.py
+++ b/notchflow/net/downstream.py
@@ -7,8 +7,10 @@
 import math
 import os
 import re
+import select
 import socket
 from collections import deque
+from itertools import islice
 from typing import Any, cast
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
@@ -31,6 +33,11 @@
 ARRIVE_MS, BODY_RATE = 2_300.0, 32.0  # bytes a millisecond
 LINGER_MS = 2_000.0
 SERVED_SHARE = 0.75
+# Who makes room for others must have been still for so long: a connection just made, or just answered, is
+# about to carry a request, which would be lost, and its client would come back at once for another's place.
+STILL_MS = 100.0
+LOOKED_AT = 8  # idle connections, of those still for longest, before room is said not to be there
+ROOM_AGAIN_MS, ROOM_TOLD_MS = 20.0, 1_000.0
 SLICE = 8 << 10  # a longer read is parsed in such pieces, so that the bounds on framing hold within it
 FIELDS_MAX = 256
 FRAMING_MAX, FRAMING_CHUNK = 4 << 10, 32  # bytes of a chunked body that are no body: in all, and a chunk
@@ -279,6 +286,13 @@
         self.waiting.append(call)
 
     # -- one request after the other
+    def silent(self) -> bool:
+        """Whether nothing has come that was not read yet: what is closed then is lost to its client."""
+        assert self.transport is not None
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
     def pass_on(self) -> int | None:
         """Gives up the connection for another process to go on with, between two requests: had some of the
         next been read, it would be lost. The connection's descriptor, or none if it must stay."""
@@ -485,6 +499,8 @@
         self.inherited: int | None = None
         self.adopting: set[asyncio.Task[Any]] = set()
         self.sweeping: list[Client] = []
+        self.looking = False  # it is looked for room again in a moment
+        self.short_told = -ROOM_TOLD_MS  # when the log last told that there is none
 
     def listen(self) -> None:
         """Opens the listener, or takes the one that is inherited: others hold it too, so that it is neither
@@ -519,11 +535,32 @@
         return self.close_idle()
 
     def close_idle(self) -> bool:
-        for client in self.idle:
-            self._let_go(client)
-            return True
+        """Makes room by closing a connection that is surely not about to carry a request, if there is one."""
+        now = self.host.clock.now()
+        for client in islice(self.idle, LOOKED_AT):
+            if now < client.active_at + STILL_MS:
+                break  # and so are all that became idle after it
+            if client.transport is not None and client.silent():
+                self._let_go(client)
+                return True
         return False
 
+    def _crowded(self) -> None:
+        """What is not accepted now waits in the listener's queue, where it is not lost."""
+        self._pause()
+        now = self.host.clock.now()
+        if not self.looking:
+            self.looking = True
+            self.host.at(now + ROOM_AGAIN_MS, self._look_again)
+        if now >= self.short_told + ROOM_TOLD_MS:
+            self.short_told = now
+            log.warning("no descriptors left: %d of %d in use, %d clients, %d of them idle; accepting pauses",
+                        self.host.used, self.host.descriptors, len(self.clients), len(self.idle))
+
+    def _look_again(self, _: object = None) -> None:
+        self.looking = False
+        self.resume()
+
     def _let_go(self, client: Client) -> None:
         del self.idle[client]
         client.closing = True
@@ -537,8 +574,7 @@
             if listener is None:
                 return
             if not self._room():
-                self._pause()
-                log.warning("no descriptors left: accepting pauses")
+                self._crowded()
                 return
             try:
                 sock, _address = listener.accept()
@@ -548,7 +584,7 @@
             except OSError as error:
                 log.warning("accept failed: %s", error)
                 self._pause()
-                self.host.at(self.host.clock.now() + 50.0, lambda _: self.resume())
+                self.host.at(self.host.clock.now() + 50.0, self._look_again)
                 return
             sock.setblocking(False)
             self.host.used += 1
@@ -573,8 +609,8 @@
             if self.backlog_empty:
                 self.shut()
         if self.listener is None and not self.adopting:
-            while self.close_idle():
-                pass
+            for client in list(self.idle):
+                self._let_go(client)
         return self.listener is None and not self.adopting and not self.clients
 
     def shut(self) -> None:
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -43,7 +43,7 @@
 from notchflow.net.downstream import Front
 from notchflow.net.exchange import Answer, Call, Door, Open
 from notchflow.net.listing import Address, Listing, decode_listing, encode_member
-from notchflow.net.succession import FDS_MAX, Succession
+from notchflow.net.succession import FDS_MAX, Link, Succession
 from notchflow.net.timers import Calendar, Handle
 from notchflow.net.upstream import Attempt, IdleLimit, Pool, load_report
 from notchflow.operations.duty import Duty, Phase
@@ -187,6 +187,25 @@
         self.used += 1
         self.front.adopt(sock, known=True)
 
+    def take_on(self, sock: socket.socket, node: int, address: str, idle_ms: float) -> None:
+        """Keeps a connection to a box that another process had idle, if the box is still there."""
+        pool = self.pools.get(node)
+        if (pool is None or pool.retired or "{}:{}".format(*pool.address) != address
+                or self.used >= self.descriptors):
+            sock.close()
+            return
+        self.used += 1
+        pool.adopt(sock, idle_ms)
+
+    def _pass_boxes(self, heir: Link) -> None:
+        """Passes idle connections to boxes on, so that the other process need not dial each time."""
+        assert self.succession is not None
+        for node, pool in self.pools.items():
+            while not heir.over and (given := pool.pass_on(FDS_MAX)):
+                address = "{}:{}".format(*pool.address)
+                self.succession.pass_boxes(heir, [(node, address, idle_ms) for _, idle_ms in given],
+                                           [descriptor for descriptor, _ in given])
+
     def _succeed(self, _: object = None) -> None:
         """Passes clients' connections on to the process that takes over, each between two requests, and ends
         with the last. Nothing new is taken: the listener is the other's as well."""
@@ -197,8 +216,10 @@
             self.duty.deserted()
             self._drain()
             return
+        if heir.boxes:
+            self._pass_boxes(heir)
         while not heir.over and (given := self.front.pass_on(FDS_MAX)):
-            heir.send({"clients": len(given)}, given)
+            self.succession.pass_clients(heir, given)
         now = self.clock.now()
         if now >= self.stop_by or not (self.front.clients or self.front.adopting or self.succession.passing):
             self.loop.stop()
--- a/notchflow/net/succession.py
+++ b/notchflow/net/succession.py
@@ -22,6 +22,7 @@
 PIECE: Final = 64 << 10
 FDS_MAX: Final = 64  # connections passed on with one frame
 REPORT_MS: Final = 100.0
+MALFORMED: Final = (OSError, HandoverError, ValueError, TypeError, KeyError)
 
 
 class Predecessor(Protocol):
@@ -38,6 +39,9 @@
     def welcome(self, sock: socket.socket) -> None:
         """Goes on with a client's connection that another process had."""
 
+    def take_on(self, sock: socket.socket, node: int, address: str, idle_ms: float) -> None:
+        """Keeps a connection to a box that another process had, idle for so long; or closes it."""
+
     def state(self) -> dict[str, Any]:
         """What the process that takes over is told."""
 
@@ -95,6 +99,7 @@
         self.descriptors: deque[int] = deque()  # that came, until the frame that tells of them is whole
         self.queue: deque[tuple[bytes, list[int]]] = deque()
         self.over = False
+        self.boxes = False  # whether the other process takes connections to boxes: an older program does not
         self.loop.add_reader(sock, self._read)
 
     def send(self, state: dict[str, Any], descriptors: Sequence[int] = ()) -> None:
@@ -126,11 +131,18 @@
             if not data:
                 self.close("it has ended")
                 return
-            for state in self.reader.feed(data):
-                self._heard(state)
+            self.take(self.reader.feed(data))
         except BlockingIOError:
             return
-        except (OSError, HandoverError, ValueError, TypeError, KeyError) as error:
+        except (OSError, HandoverError) as error:
+            self.close(str(error))
+
+    def take(self, states: Iterable[dict[str, Any]]) -> None:
+        """Acts on what frames tell; a process that cannot be understood is not listened to any more."""
+        try:
+            for state in states:
+                self._heard(state)
+        except MALFORMED as error:
             self.close(str(error))
 
     def _heard(self, state: dict[str, Any]) -> None:
@@ -139,8 +151,18 @@
         if "news" in state:
             self.succession.owner.hear(state["news"])
             self.succession.tell(state["news"], self)  # processes link in a row, so that none hears twice
-        for _ in range(min(int(state.get("clients", 0)), len(self.descriptors))):
+        boxes = state.get("boxes", ())
+        if len(boxes) > len(self.descriptors):
+            raise HandoverError("more connections to boxes are told of than came")
+        clients = min(int(state.get("clients", 0)), len(self.descriptors) - len(boxes))
+        if boxes or clients:
+            self.succession.moved(self, -len(boxes) - clients)
+        for node, address, idle_ms in boxes:
+            sock = socket.socket(fileno=self.descriptors.popleft())
+            self.succession.owner.take_on(sock, int(node), str(address), float(idle_ms))
+        for _ in range(clients):
             self.succession.owner.welcome(socket.socket(fileno=self.descriptors.popleft()))
+        self.boxes = bool(state.get("takes_boxes", self.boxes))
 
     def close(self, why: str) -> None:
         """The other process is gone, or cannot be understood."""
@@ -172,7 +194,7 @@
         self.shares = Shares()
         self.links: list[Link] = []
         self.listener: socket.socket | None = None
-        self.inherited: tuple[socket.socket, Reader] | None = None
+        self.inherited: tuple[socket.socket, Reader, list[dict[str, Any]]] | None = None
         self.leaving = False
         self.reporting = False  # the timer of the next report is set
 
@@ -186,7 +208,7 @@
             while data := sock.recv(PIECE):
                 states = reader.feed(data)
                 if states:
-                    self.inherited = sock, reader
+                    self.inherited = sock, reader, states[1:]
                     return states[0]
             log.warning("the process before this one ended in the midst of its handover")
         except (OSError, HandoverError) as error:
@@ -197,8 +219,10 @@
     def begin(self) -> None:
         """This process serves: the next one finds it here, and the one before knows that it runs."""
         if self.inherited is not None:
-            (sock, reader), self.inherited = self.inherited, None
-            self._joined(Link(self, sock, False, reader))
+            (sock, reader, more), self.inherited = self.inherited, None
+            link = Link(self, sock, False, reader)
+            self._joined(link)
+            link.take(more)  # came along with the first, and tells how much the other process uses
         self._listen()
 
     def _listen(self) -> None:
@@ -238,7 +262,7 @@
         self.reporting = bool(self.links)
         if self.reporting:
             used, held = self.owner.usage()
-            self._send({"used": used, "held": held})
+            self._send({"used": used, "held": held, "takes_boxes": True})
             self.owner.at(self.owner.clock.now() + REPORT_MS, self._report)
 
     def tell(self, news: dict[str, Any], source: Link | None = None) -> None:
@@ -250,6 +274,22 @@
             if link is not but:
                 link.send(state)
 
+    def moved(self, link: Link, descriptors: int) -> None:
+        """Connections have passed to that process, or, where negative, have come from it."""
+        self.shares.moved(link, descriptors)
+        self.owner.divide(self.shares)
+
+    def pass_clients(self, link: Link, descriptors: list[int]) -> None:
+        """Passes clients' connections on."""
+        self.moved(link, len(descriptors))
+        link.send({"clients": len(descriptors)}, descriptors)
+
+    def pass_boxes(self, link: Link, boxes: list[tuple[int, str, float]], descriptors: list[int]) -> None:
+        """Passes connections to boxes on: which box, its address, and for how long each has been idle, in
+        milliseconds."""
+        self.moved(link, len(descriptors))
+        link.send({"boxes": boxes}, descriptors)
+
     def told(self, link: Link, used: float, held: float) -> None:
         """What another process uses."""
         self.shares.told(link, used, held)
--- a/notchflow/net/upstream.py
+++ b/notchflow/net/upstream.py
@@ -5,7 +5,9 @@
 import asyncio
 import json
 import logging
-from bisect import bisect_right
+import os
+import socket
+from bisect import bisect_right, insort
 from collections.abc import Sequence
 from typing import Protocol, cast
 
@@ -282,7 +284,7 @@
 class Pool:
     """The connections to one address: the last to become idle is used first, so that the others age out."""
 
-    __slots__ = ("host", "address", "connect_ms", "limit", "idle", "dials", "retired")
+    __slots__ = ("host", "address", "connect_ms", "limit", "idle", "dials", "adopting", "retired")
 
     def __init__(self, host: Dialler, address: tuple[str, int], connect_ms: float, limit: IdleLimit) -> None:
         self.host = host
@@ -291,6 +293,7 @@
         self.limit = limit
         self.idle: list[Connection] = []
         self.dials: dict[Connection, tuple[asyncio.Task[None], Exchange, Handle]] = {}
+        self.adopting: dict[Connection, asyncio.Task[None]] = {}
         self.retired = False
 
     def send(self, exchange: Exchange, now: float) -> None:
@@ -335,8 +338,42 @@
             connection.counted = False
             self.host.freed()
 
+    def adopt(self, sock: socket.socket, idle_ms: float) -> None:
+        """Keeps a connection, counted already, that another process of this proxy had idle for so long."""
+        sock.setblocking(False)
+        connection = Connection(self)
+        connection.idle_since = self.host.clock.now() - idle_ms
+        self.adopting[connection] = self.host.loop.create_task(self._adopt(connection, sock))
+
+    async def _adopt(self, connection: Connection, sock: socket.socket) -> None:
+        try:
+            await self.host.loop.create_connection(lambda: connection, sock=sock)
+        except OSError:
+            del self.adopting[connection]
+            sock.close()
+            self._uncount(connection)
+
+    def pass_on(self, most: int) -> list[tuple[int, float]]:
+        """Gives up idle connections, the youngest first and so many at most, for another process to go on
+        with: each one's descriptor, and for how long it has been idle, in milliseconds."""
+        given: list[tuple[int, float]] = []
+        now = self.host.clock.now()
+        while self.idle and len(given) < most and now - self.idle[-1].idle_since <= self.limit.ms:
+            connection = self.idle.pop()
+            if connection.transport is not None and not connection.transport.is_closing():
+                descriptor = os.dup(connection.transport.get_extra_info("socket").fileno())
+                given.append((descriptor, now - connection.idle_since))
+                connection.close()  # this process's descriptor alone
+        return given
+
     def opened(self, connection: Connection) -> None:
-        """A dial has succeeded."""
+        """A dial has succeeded, or a connection that another process had is open here."""
+        if self.adopting.pop(connection, None) is not None:
+            if self.retired:
+                connection.close()
+            else:
+                insort(self.idle, connection, key=_idle_since)
+            return
         dial = self.dials.pop(connection, None)
         if dial is None:
             connection.close()
@@ -385,6 +422,10 @@
         self.sweep(0.0)
 
 
+def _idle_since(connection: Connection) -> float:
+    return connection.idle_since
+
+
 class Courier(Dialler, Protocol):
     """What attempts need of the host."""
 
--- a/notchflow/operations/handover.py
+++ b/notchflow/operations/handover.py
@@ -83,6 +83,12 @@
         if who in self.used:
             self.used[who] = max(descriptors, 0.0), max(held, 0.0)
 
+    def moved(self, who: object, descriptors: int) -> None:
+        """Connections passed to it or, where negative, came from it: what it told is older than that."""
+        used = self.used.get(who)
+        if used is not None:
+            self.used[who] = max(used[0] + descriptors, 0.0), used[1]
+
     def left(self, who: object) -> None:
         """It has ended."""
         self.used.pop(who, None)
--- a/tests/operations/test_handover.py
+++ b/tests/operations/test_handover.py
@@ -16,7 +16,7 @@
 from notchflow.interface import Outcome, RequestClass, State, Status
 from notchflow.net.host import Host
 from notchflow.net.listing import node_id
-from notchflow.net.succession import Place, Succession
+from notchflow.net.succession import Link, Place, Succession
 from notchflow.operations.handover import FORMAT, HEAD, MAGIC, HandoverError, Reader, Shares, pack
 from tests.helpers import ask, make_balancer, make_settings, sends
 from tests.rig import Rig, Seen, answer, run, serve_value, until
@@ -280,6 +280,91 @@
     replaced(tmp_path, test)
 
 
+def test_connections_to_boxes_pass_on_as_well(tmp_path: Path) -> None:
+    """The new process need not dial for each request, just when it gets all clients."""
+    async def test(rig: Rig, folder: Path, listener: socket.socket) -> None:
+        clients = [await rig.connect() for _ in range(6)]
+        for client in clients:
+            client.send()
+        for client in clients:
+            assert (seen := await client.receive()) is not None and seen.status == 200
+        dialled = sum(node.connections for node in rig.nodes)
+        new = await successor(rig, folder, listener)
+        link = await heir_of(rig.host)
+        await until(lambda: link.boxes)
+        ended = stopped(rig.host)
+        rig.host.stop()
+        await until(lambda: ended and len(new.front.clients) == 6)
+        await until(lambda: sum(len(pool.idle) for pool in new.pools.values()) == dialled)
+        for client in clients:
+            assert (await client.ask()).status == 200
+        assert sum(node.connections for node in rig.nodes) == dialled
+        assert new.used == 6 + dialled + 1, "and the one to discovery"
+        assert rig.host.used == 1
+        close(new)
+
+    replaced(tmp_path, test)
+
+
+def test_a_box_connection_that_came_too_late_is_closed(tmp_path: Path) -> None:
+    """The list has changed, or there is no room: what came along is not kept."""
+    async def test(rig: Rig, folder: Path, listener: socket.socket) -> None:
+        pool = next(iter(rig.host.pools.values()))
+        node, address = next(iter(rig.host.pools)), "{}:{}".format(*pool.address)
+        used = rig.host.used
+        for wrong in ((node + 1, address), (node, "127.0.0.1:1")):
+            here, there = socket.socketpair()
+            rig.host.take_on(here, *wrong, 5.0)
+            assert there.recv(1) == b"" and rig.host.used == used
+            there.close()
+        here, there = socket.socketpair()
+        rig.host.descriptors = used
+        rig.host.take_on(here, node, address, 5.0)
+        assert there.recv(1) == b"" and rig.host.used == used
+        there.close()
+
+    replaced(tmp_path, test)
+
+
+def test_what_passes_is_counted_before_the_next_report() -> None:
+    shares = Shares()
+    shares.joined("old")
+    shares.moved("old", -5)
+    assert shares.descriptors(100) == 50, "it has not told yet"
+    shares.told("old", 70, 0)
+    shares.moved("old", -30)
+    assert shares.descriptors(100) == 60
+    shares.moved("old", 30)
+    assert shares.descriptors(100) == 30
+    shares.moved("old", -300)
+    assert shares.descriptors(100) == 100
+
+
+def test_what_comes_along_with_the_handover_is_heard(tmp_path: Path) -> None:
+    """The first report lay behind the handover and was dropped: for 100 ms the new process took the old one
+    to use half of all descriptors, and had no room for the clients that it was passed."""
+    async def test(rig: Rig, folder: Path, listener: socket.socket) -> None:
+        here, there = socket.socketpair(socket.AF_UNIX)
+        there.sendall(pack(rig.host.state()) + pack({"used": 200, "held": 7}))
+        host = Host(rig.host.config, rig.host.loop)
+        succession = host.succession = Succession(host, str(folder), "n1")
+        succession.place.dial = lambda: here  # type: ignore[method-assign]
+        assert succession.ask() == json.loads(json.dumps(rig.host.state()))
+        succession.begin()
+        assert host.descriptors == host.descriptors_whole - 200
+        there.close()
+        close(host)
+
+    replaced(tmp_path, test)
+
+
+async def heir_of(host: Host) -> Link:
+    """The link to the process that takes over."""
+    await until(lambda: host.succession and host.succession.heir)
+    assert host.succession is not None and host.succession.heir is not None
+    return host.succession.heir
+
+
 def test_a_stale_file_and_one_that_tells_nonsense(tmp_path: Path) -> None:
     async def test(rig: Rig, folder: Path, listener: socket.socket) -> None:
         other = folder / "other"
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -8,7 +8,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from tests.rig import Rig, Seen, answer, run, serve_value, until
+from notchflow.net import downstream
+from tests.rig import Client, Rig, Seen, answer, run, serve_value, until
 
 GOOD = b"GET /api/00aa HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: read\r\n\r\n"
 
@@ -329,3 +330,47 @@
             assert not rig.host.open and rig.host.held == 0
             assert (await rig.ask()).status == 200
     run(test())
+
+
+def test_no_client_that_is_about_to_ask_makes_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against new connections that close one another: each client came back at once, for the next."""
+    monkeypatch.setattr(downstream, "STILL_MS", 60_000.0)  # whatever the machine's pace
+
+    async def test() -> None:
+        async with Rig(limits={"sockets": 44}) as rig:
+            front = rig.host.front
+            clients = await asyncio.gather(*(rig.connect() for _ in range(60)))
+            await until(lambda: not front.accepting)  # as many as there is room for, and none has asked
+
+            async def once(client: Client) -> Seen | None:
+                client.send()
+                seen = await client.receive()
+                client.writer.close()
+                return seen
+
+            answers = await asyncio.gather(*(once(client) for client in clients))
+            assert None not in answers, "closed with its request unread"
+            assert rig.host.used <= rig.host.descriptors
+    run(test())
+
+
+def test_one_whose_request_lies_unread_makes_no_room() -> None:
+    async def test() -> None:
+        async with Rig() as rig:
+            front = rig.host.front
+            asked, silent = await rig.connect(), await rig.connect()
+            for client in (asked, silent):
+                assert (await client.ask()).status == 200
+            await until(lambda: len(front.idle) == 2)
+            for kept in front.idle:
+                kept.active_at -= 1_000  # still for long
+            transport = next(iter(front.idle)).transport
+            assert transport is not None
+            transport.pause_reading()  # as if the loop were busy
+            asked.send()
+            await asyncio.sleep(0.02)
+            assert front.close_idle() and len(front.idle) == 1, "the other one goes"
+            transport.resume_reading()
+            seen = await asked.receive()
+            assert seen is not None and seen.status == 200
+    run(test())
