Long bodies go on to a box as they come, under back pressure, with memory bounded

Change: from 256 KiB on the request begins and its pieces go on as they come. What has come is kept for another attempt as far as memory allows; then the module is told (Spent) and no attempt begins anew. Arrived tells it the deadline that counts from the last byte; until then there is no second copy, and a box that begins to drain gets no last byte. A box that reads slowly holds the client at no cost of the client's time; one that reads nothing for 10 s is given up. What is answered before its body has come is read to its end, and the connection is used on.

The hosted service still takes bodies whole (its tenants' limit on bytes held).

--- a/notchflow/interface.py
+++ b/notchflow/interface.py
@@ -223,6 +223,7 @@
     size: float | None = None
     retry: bool = False
     write: bool = False
+    arriving: bool = False  # its body is still coming: `Arrived` tells the deadline that it has from then on
 
 
 @dataclass(frozen=True, slots=True)
@@ -264,6 +265,21 @@
     load: Mapping[str, float] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Arrived:
+    """The body of a request that began before it was whole has come: the client waits until this deadline."""
+
+    id: int
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class Spent:
+    """A part of a request's body is not held any more: what is under way may go on, no attempt can begin."""
+
+    id: int
+
+
 @dataclass(frozen=True, slots=True)
 class Retune:
     """New settings, from now on. A request in hand keeps the class that it was taken with, to its end."""
@@ -287,7 +303,8 @@
 
 
 Event: TypeAlias = (
-    Membership | Request | StreamStarted | Outcome | ClientGone | Probed | Timer | PeerMessage | Retune)
+    Membership | Request | StreamStarted | Outcome | ClientGone | Probed | Timer | PeerMessage | Retune
+    | Arrived | Spent)
 
 
 class Send(NamedTuple):
--- a/notchflow/logic.py
+++ b/notchflow/logic.py
@@ -15,8 +15,9 @@
 from typing import Any, Final
 
 from notchflow.interface import (
-    Action, Cancel, ClientGone, Effect, Event, Fail, Group, ListKind, Member, Membership, Outcome, Refuse,
-    Request, RequestClass, Retune, Send, SetTimer, Settings, State, Status, StreamStarted, Timer, Watch,
+    Action, Arrived, Cancel, ClientGone, Effect, Event, Fail, Group, ListKind, Member, Membership, Outcome,
+    Refuse, Request, RequestClass, Retune, Send, SetTimer, Settings, Spent, State, Status, StreamStarted,
+    Timer, Watch,
 )
 
 TOP_K: Final = 16  # keys in either list; popularity is steep, beyond these a key is no burden to one server
@@ -535,10 +536,12 @@
 class Pending:
     """A request in hand: its attempts, and what the rules still allow for it."""
 
-    __slots__ = ("request", "cls", "out", "tried", "may_have_run", "attempts", "most", "done", "streaming")
+    __slots__ = ("request", "cls", "deadline", "arriving", "out", "tried", "may_have_run", "attempts", "most",
+                 "done", "streaming")
 
     def __init__(self, request: Request, cls: RequestClass, most: int) -> None:
         self.request, self.cls, self.most = request, cls, most
+        self.deadline, self.arriving = request.deadline, request.arriving
         self.out: dict[int, tuple[Node, float]] = {}
         self.tried: tuple[Node, ...] = ()
         self.may_have_run: tuple[tuple[Node, float], ...] = ()
@@ -689,6 +692,12 @@
                 self._close(request)
             case Retune(settings):
                 self._retune(now, settings)
+            case Arrived(request, deadline):
+                if request in self.pending:
+                    self.pending[request].deadline, self.pending[request].arriving = deadline, False
+            case Spent(request):
+                if request in self.pending:
+                    self.pending[request].most = self.pending[request].attempts
             case StreamStarted(request, attempt):
                 if request in self.pending:
                     self.pending[request].streaming = True
@@ -862,7 +871,8 @@
     def _second(self, now: float, request_id: int) -> None:
         """A second copy where what was sent half the wait later is served: a queue would delay both."""
         pending = self.pending.get(request_id)
-        if pending is None or pending.done or pending.streaming or len(pending.out) != 1 or self.retries < 1:
+        if (pending is None or pending.done or pending.streaming or pending.arriving or len(pending.out) != 1
+                or self.retries < 1):
             return
         (first, sent_at), = pending.out.values()
         more = pending.attempts < pending.most and self.throttle.pressure() <= 0
@@ -880,7 +890,7 @@
         return pressure > 0 and draw >= math.pow(1 - pressure, cost / self.mean_cost)
 
     def _send(self, now: float, pending: Pending, node: Node | None) -> None:
-        left, attempts = pending.request.deadline - now, pending.attempts
+        left, attempts = pending.deadline - now, pending.attempts
         if (node is None or left <= 0 or attempts >= pending.most or node.member.state is not READY
                 or (attempts and not pending.may_go(node, now))):
             self._finish(pending)
@@ -889,7 +899,8 @@
         if node.fails or node.mutes:
             mute = node.mutes.get(pending.cls.name)
             doubtful = node.fails > 0 or (mute is not None and mute.fails >= SUSPECT_AFTER)
-            if doubtful and attempts + 1 < pending.most and pending.cls.effect is SAFE:
+            if (doubtful and attempts + 1 < pending.most and pending.cls.effect is SAFE
+                    and not pending.arriving):
                 timeout = left * TRIAL_SHARE
         pending.out[attempts] = node, now
         pending.attempts = attempts + 1
@@ -928,7 +939,7 @@
         # What never ran has cost no work: only the most attempts allowed bound it, so that one full or dead
         # server does not have its requests refused while others have room.
         short = not status.never_ran and self.retries < 1
-        if short or pending.request.deadline - now <= self.settings.tick_ms:
+        if short or pending.deadline - now <= self.settings.tick_ms:
             self._finish(pending)
             return
         self.retries -= 0 if status.never_ran else 1
--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -112,6 +112,7 @@
     """One call to discovery, as an exchange on a connection."""
 
     hold_max = LIST_MAX
+    unfinished = False
 
     def __init__(self, discovery: Discovery, data: bytes) -> None:
         self.discovery, self.pool = discovery, discovery.pool
@@ -154,6 +155,9 @@
     def written(self) -> None:
         """Calls are not counted."""
 
+    def blocked(self, on: bool) -> None:
+        """Never called: a call is written whole."""
+
     def _end(self, listing: Listing | None, problem: str) -> None:
         if not self.over:
             self.drop()
--- a/notchflow/net/downstream.py
+++ b/notchflow/net/downstream.py
@@ -21,6 +21,7 @@
 
 HEAD_MAX = 32 << 10
 BODY_MAX = 32 << 20
+FLOW_FROM = 256 << 10  # a longer body goes on to a box as it comes, and is held as far as memory allows
 BUDGET_MAX_MS = 60_000.0
 WAITING_MAX = 16
 ACCEPTS_PER_TURN = 64
@@ -64,7 +65,7 @@
 
     __slots__ = ("front", "host", "transport", "parser", "arriving", "in_head", "head_size", "waiting",
                  "current", "stepping", "paused", "half_closed", "closing", "chunked", "charged", "active_at",
-                 "due_since", "framing", "chunks", "held_off", "known")
+                 "due_since", "framing", "chunks", "held_off", "stopped_at", "known")
 
     def __init__(self, front: Front, known: bool = False) -> None:
         self.front = front
@@ -80,6 +81,7 @@
         self.stepping = False
         self.paused = False
         self.held_off = False  # nothing is read until what waits is fewer
+        self.stopped_at: float | None = None  # since then no more of a body is wanted
         self.half_closed = False
         self.closing = False
         self.chunked = False
@@ -108,6 +110,8 @@
                 if not self.closing:
                     self._feed(data[at : at + SLICE])
         self._step()
+        if self.current is None and self.arriving is None and not self.waiting and not self.closing:
+            self.front.idle[self] = None  # the rest of what was answered already has come
 
     def _feed(self, data: bytes) -> None:
         if self.parser is None:
@@ -133,8 +137,8 @@
 
     def eof_received(self) -> bool:
         self.half_closed = True
-        if self.current is None and not self.waiting:
-            return False
+        if self.current is self.arriving and not self.waiting:
+            return False  # nothing is in hand, or its body ends in the midst
         self.closing = True
         return True
 
@@ -243,8 +247,12 @@
         if call is None:
             return
         call.size += len(data)
+        if call.dropped:
+            return
         if call.size > BODY_MAX:
             self._fault(413)
+        elif call.flowing or self._flows(call, len(data)):
+            self._flow(call, data)
         elif call.reply is None and not call.spilled:
             full = self.host.held + len(data) > self.host.held_max
             if full or (call.ticket is not None and not call.ticket.charge(len(data))):
@@ -258,6 +266,55 @@
                 else:
                     call.body.append(data)
 
+    def _flows(self, call: Call, size: int) -> bool:
+        """Whether this body is to go on as it comes, from now on."""
+        if self.front.door is not None or call.method != b"PUT" or call.fault or call.spilled:
+            return False
+        short = self.host.held + size > self.host.held_max
+        if call.size > FLOW_FROM or short and int(call.fields.get(b"content-length", 0)) > FLOW_FROM:
+            call.flowing = True
+            self.waiting.append(call)
+        return call.flowing
+
+    def _flow(self, call: Call, data: bytes) -> None:
+        """A piece of a body that goes on as it comes. It is held too, so that another box can be given all of
+        it, as long as there is memory; else what comes waits until a box is reading."""
+        host, item = self.host, call.open
+        if not call.spent:
+            host.held += len(data)
+            call.charged += len(data)
+            call.body.append(data)
+        if item is not None:
+            host.body_came(item, data)
+        if not call.spent and host.held > host.held_max:
+            if item is not None and host.spend(item):
+                call.spent = True
+                call.release()
+            else:
+                self.flow(False)
+
+    def flow(self, on: bool) -> None:
+        """Whether more of the body that is arriving is wanted now; else the client's time stands still."""
+        if on is (self.stopped_at is None) or self.transport is None or self.transport.is_closing():
+            return
+        now = self.host.clock.now()
+        if on:
+            assert self.stopped_at is not None
+            if self.due_since is not None:
+                self.due_since += now - self.stopped_at
+            self.stopped_at, self.active_at = None, now
+        else:
+            self.stopped_at = now
+        self._read_on(on)
+
+    def _read_on(self, on: bool) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        if not on:
+            self.transport.pause_reading()
+        elif not self.held_off and self.stopped_at is None:
+            self.transport.resume_reading()
+
     def on_chunk_header(self) -> None:
         self.chunks += 1
 
@@ -267,12 +324,21 @@
         if call is None:
             return
         call.arrived_at = self.active_at
+        if call.flowing:
+            call.whole = True
+            self.flow(True)
+            if call.dropped and not call.keep and self.transport is not None:
+                self.closing = True
+                self.transport.close()
+            if call.open is not None:
+                self.host.body_whole(call.open)
+            return
         if call.size or call.method == b"PUT":
             call.passed.append(b"Content-Length: %d\r\n" % call.size)
         self.waiting.append(call)
         if len(self.waiting) >= WAITING_MAX and self.transport is not None:
             self.held_off = True
-            self.transport.pause_reading()
+            self._read_on(False)
 
     def _fault(self, status: int) -> None:
         """What comes is no request that can be answered otherwise; nothing after it can be read."""
@@ -281,8 +347,20 @@
         self.closing = True
         call = self.arriving or Call(self, self.host)
         self.arriving, self.in_head = None, False
+        if call is self.current:  # its body was on the way to a box: that is over, and not whole
+            call.fault, call.keep, item = status, False, call.open
+            if item is not None:
+                self.host.client_gone(item)
+            self.fail(call, status)
+            return
+        if call in self.waiting:
+            self.waiting.remove(call)
         call.release()
         call.fault, call.keep = status, False
+        if call.dropped:
+            if self.transport is not None:
+                self.transport.close()
+            return
         self.waiting.append(call)
 
     # -- one request after the other
@@ -315,7 +393,7 @@
             call = self.current = self.waiting.popleft()
             if self.held_off and not self.waiting:
                 self.held_off = False
-                self.transport.resume_reading()
+                self._read_on(True)
             try:
                 self._begin(call)
             except Exception:
@@ -371,6 +449,8 @@
             return
         if b"host" not in fields:  # allowed to the platform's clients, not to us (RFC 9112 section 3.2)
             call.passed.append(NO_HOST)
+        if call.flowing:
+            self._framed_anew(call)
         info, tenant = fields.get(b"x-call-info"), fields.get(b"x-caller")
         self.host.request(
             call, fields.get(b"x-call-class", b"").decode("latin-1"),
@@ -378,6 +458,16 @@
             tenant.decode("latin-1") if tenant else None, hint, _info_size(info) if info else None,
             fields.get(b"x-again") == b"1", call.method == b"PUT")
 
+    def _framed_anew(self, call: Call) -> None:
+        """How a body that flows goes on; its time begins with its last byte, by when that must be there."""
+        length = b"%d" % call.size if call.whole else call.fields.get(b"content-length")
+        call.chunked = length is None
+        call.passed.append(
+            b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %b\r\n" % length)
+        if not call.whole:
+            left = (BODY_MAX if length is None else int(length)) - call.size
+            call.arrived_at = self.host.clock.now() + ARRIVE_MS + left / BODY_RATE
+
     def serve(self, call: Call, answer: Answer) -> None:
         self._write(call, 200, answer.passed, answer.body, answer.size)
 
@@ -416,7 +506,10 @@
         self.active_at = self.host.clock.turn()
         if self.transport is None:
             return
-        if not keep:  # else it was told that it may go on, and may be about to
+        if self.arriving is call:  # a client that is cut off while it sends may never see its answer
+            call.dropped, call.keep = True, keep
+            self.flow(True)
+        elif not keep:  # else it was told that it may go on, and may be about to
             self.closing = True
             self.waiting.clear()
             if call.fault and not self.half_closed:
@@ -468,8 +561,13 @@
     def close_if_over(self, now: float) -> None:
         if self.transport is None:
             return
+        if self.stopped_at is not None and not self.closing:  # it is not the client that is slow
+            call = self.current
+            if now - self.stopped_at > STALLED_MS and call is not None and call.open is not None:
+                self.host.stuck(call.open)
+            return
         quiet = now - self.active_at
-        busy = self.current is not None and not self.paused
+        busy = self.current is not None and self.current is not self.arriving and not self.paused
         if self.closing and not busy and not self.waiting and quiet > LINGER_MS:
             self.transport.abort()
         elif self.paused and quiet > STALLED_MS:
--- a/notchflow/net/exchange.py
+++ b/notchflow/net/exchange.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -57,6 +57,9 @@
 
     def end_stream(self, call: Call, whole: bool) -> None: ...
 
+    def flow(self, on: bool) -> None:
+        """Whether more of the body that is arriving is wanted now."""
+
 
 class Link(Protocol):
     """The connection that a streamed answer comes on."""
@@ -77,6 +80,15 @@
 
     def abandon(self, status: Status) -> None: ...
 
+    def more(self, data: bytes) -> None:
+        """Another piece of the body."""
+
+    def body_ended(self) -> None:
+        """The body is whole."""
+
+    def unwritten_to(self, pools: Collection[object]) -> bool:
+        """Whether it goes to one of these pools, and a part of the request is still to be written."""
+
 
 class Ticket(Protocol):
     """What a request in hand costs the tenant that it belongs to."""
@@ -108,7 +120,7 @@
 
     __slots__ = ("client", "ledger", "method", "url", "fields", "passed", "body", "size", "charged",
                  "spilled", "keep", "chunks_allowed", "arrived_at", "open", "fault", "ticket", "reply",
-                 "counts")
+                 "counts", "flowing", "whole", "spent", "chunked", "dropped")
 
     def __init__(self, client: Asker, ledger: Ledger) -> None:
         self.client, self.ledger = client, ledger
@@ -126,6 +138,11 @@
         self.fault = 0  # the status that a request which never reaches the module is answered with
         self.ticket: Ticket | None = None
         self.counts: ClassCounts | None = None  # where its end is counted, once it is taken
+        self.flowing = False  # a long body: the request begins before that is whole
+        self.whole = False  # of one that flows: the last byte has come
+        self.spent = False  # and the first ones are not held any more
+        self.dropped = False  # it is answered already: the rest of it is read and dropped
+        self.chunked = False  # it goes on in chunks, as its length is not known
         self.reply: Reply | None = None  # settled at the end of the head: the body is read and dropped
 
     def release(self) -> None:
@@ -151,13 +168,15 @@
 class Open:
     """A request in hand and its attempts."""
 
-    __slots__ = ("id", "call", "deadline", "attempts", "out", "done", "streaming", "last", "timer", "counts")
+    __slots__ = ("id", "call", "deadline", "budget_ms", "attempts", "out", "done", "streaming", "last",
+                 "timer", "counts")
 
     def __init__(self, number: int, call: Call, deadline: float) -> None:
         self.id = number
         self.call = call
         self.counts = call.counts  # its attempts are counted there, also after its end
         self.deadline = deadline
+        self.budget_ms = 0.0  # from the last byte of a body that is still arriving
         self.attempts = 0
         self.out: dict[int, Try] = {}
         self.done = False
@@ -220,6 +239,18 @@
 
     def client_gone(self, item: Open) -> None: ...
 
+    def body_came(self, item: Open, data: bytes) -> None:
+        """A piece of a long body, for the attempts that are under way."""
+
+    def body_whole(self, item: Open) -> None:
+        """All of it has come: the client's time counts from now on."""
+
+    def stuck(self, item: Open) -> None:
+        """A box does not take the body any more."""
+
+    def spend(self, item: Open) -> bool:
+        """Whether the start of the body need not be held any more, as a box is getting it."""
+
     def pause(self, item: Open, paused: bool) -> None: ...
 
 
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -14,6 +14,7 @@
 
 from notchflow.interface import (
     Action,
+    Arrived,
     Cancel,
     ClientGone,
     Event,
@@ -29,6 +30,7 @@
     Retune,
     Send,
     SetTimer,
+    Spent,
     State,
     Status,
     StreamStarted,
@@ -432,7 +434,7 @@
         attempt_number, item.attempts = item.attempts, item.attempts + 1
         pool, now = self.pools.get(node), self.now
         if (pool is None or item.done or item.streaming is not None or now >= item.deadline
-                or attempt_number >= self.max_attempts
+                or attempt_number >= self.max_attempts or item.call.spent
                 or (item.out and not self.settings.limits.second_copies)):
             self.inbox.append(Outcome(number, attempt_number, node, Status.MOOT, closed=item.done))
             return
@@ -468,6 +470,11 @@
         self.tell(Membership(kind, listing.members, listing.revision))
         for pool in retired:  # now that the module knows better than to send there again
             pool.undial()
+        # and what is still being written there, as it would count as new with its last byte
+        flowing = [item for item in self.open.values() if item.call.flowing] if retired else ()
+        for item in flowing:
+            if any(attempt.unwritten_to(retired) for attempt in item.out.values()):
+                self._call_off(item)
 
     def _list(self, listing: Listing) -> None:
         names, addresses = listing.names or {}, listing.addresses or {}
@@ -485,6 +492,7 @@
         if budget_ms is None:
             budget_ms = self.classes.get(cls, self.longest_ms)
         self.numbers = number = self.numbers + 1
+        arriving = call.flowing and not call.whole
         deadline = call.arrived_at + budget_ms
         if deadline > self.answer_by:
             deadline = self.answer_by
@@ -494,9 +502,44 @@
             item.last = Status.TIMEOUT
             self._fail(item)
             return
+        if arriving:
+            item.budget_ms = budget_ms
         self.open[number] = item
         item.timer = self.at(deadline, self._deadline, number)
-        self.tell(Request(number, cls, deadline, key, tenant, hint_ms, size, retry, write))
+        self.tell(Request(number, cls, deadline, key, tenant, hint_ms, size, retry, write, arriving))
+
+    # -- bodies that flow
+    def body_came(self, item: Open, data: bytes) -> None:
+        """A piece of a long body, for the attempts that are under way."""
+        for attempt in list(item.out.values()):
+            attempt.more(data)
+
+    def body_whole(self, item: Open) -> None:
+        """All of it has come: the client's time counts from now on."""
+        if item.done:
+            return
+        item.deadline = min(self.clock.now() + item.budget_ms, self.answer_by)
+        if item.timer is not None:
+            self.timers.cancel(item.timer)
+        item.timer = self.at(item.deadline, self._deadline, item.id)
+        for attempt in list(item.out.values()):
+            attempt.body_ended()
+        self.tell(Arrived(item.id, item.deadline))
+
+    def spend(self, item: Open) -> bool:
+        """Whether the start of the body need not be held any more, as a box is getting it."""
+        if item.done or len(item.out) != 1 or any(a.connection is None for a in item.out.values()):
+            return False
+        self.tell(Spent(item.id))
+        return True
+
+    def stuck(self, item: Open) -> None:
+        """A box does not take the body any more: without its last byte it cannot have run."""
+        self._call_off(item)
+
+    def _call_off(self, item: Open) -> None:
+        for attempt in list(item.out.values()):
+            attempt.abandon(Status.CONNECT_FAILED)
 
     def _deadline(self, number: int) -> None:
         item = self.open.get(number)
@@ -514,6 +557,8 @@
         self._end(item)
         if item.streaming is not None:
             item.streaming.abandon(Status.CANCELLED)
+        if item.call.flowing and not item.call.whole:  # whatever may be cancelled: the rest never comes
+            self._call_off(item)
         self.tell(ClientGone(item.id))
 
     def stream_started(self, attempt: Attempt, answer: Answer) -> bool:
--- a/notchflow/net/upstream.py
+++ b/notchflow/net/upstream.py
@@ -8,7 +8,7 @@
 import os
 import socket
 from bisect import bisect_right, insort
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Protocol, cast
 
 from httptools import HttpParserError, HttpResponseParser
@@ -23,6 +23,7 @@
 OK = Status.OK  # looked up for every request
 
 HOLD_MAX = 64 << 10  # bytes of an answer held whole, so that a broken one can be retried; more is streamed
+LAST_CHUNK = b"0\r\n\r\n"
 HEAD_MAX = 32 << 10
 LENGTH_MAX = 32 << 20  # no value is so long: who announces more is spoilt, and another node may still serve
 RETIRE_SHARE = 0.7
@@ -89,6 +90,7 @@
 
     connection: Connection | None
     hold_max: int
+    unfinished: bool  # more of the request is to come
 
     def chunks(self, now: float) -> list[bytes]: ...
 
@@ -104,6 +106,9 @@
 
     def written(self) -> None: ...
 
+    def blocked(self, on: bool) -> None:
+        """The node reads more slowly than the request comes, or has caught up."""
+
 
 class Connection(asyncio.Protocol):
     """A connection to a node; it carries one exchange at a time."""
@@ -131,12 +136,34 @@
         self.transport.set_write_buffer_limits(high=0)  # so resume_writing tells that the last byte has gone
         self.pool.opened(self)
 
+    def pause_writing(self) -> None:
+        if self.exchange is not None and self.exchange.unfinished:
+            self.exchange.blocked(True)
+
     def resume_writing(self) -> None:
-        if not self.sent:
+        if self.exchange is not None and self.exchange.unfinished:
+            self.exchange.blocked(False)
+        elif not self.sent:
             self.sent = True
             if self.exchange is not None:
                 self.exchange.written()
 
+    def more(self, data: bytes) -> None:
+        """Another piece of an unfinished request; nothing, where its end is all there is to tell."""
+        if self.transport is None or self.exchange is None:
+            return
+        if data:
+            self.transport.write(data)
+        self._if_sent()
+
+    def _if_sent(self) -> None:
+        # A failed write leaves nothing in the buffer either, but begins to close.
+        assert self.transport is not None and self.exchange is not None
+        if (not self.sent and not self.exchange.unfinished and not self.transport.get_write_buffer_size()
+                and not self.transport.is_closing()):
+            self.sent = True
+            self.exchange.written()
+
     def data_received(self, data: bytes) -> None:
         if self.exchange is None or self.parser is None:
             self.close()
@@ -181,10 +208,7 @@
         self.in_head, self.head_size = True, 0
         self.complete = self.surplus = self.streaming = self.delimited = self.keep = self.sent = False
         self.transport.writelines(exchange.chunks(now))
-        # A failed write leaves nothing in the buffer either, but begins to close.
-        if not self.transport.get_write_buffer_size() and not self.transport.is_closing():
-            self.sent = True
-            exchange.written()
+        self._if_sent()
 
     def abandon(self) -> None:
         self.exchange = None
@@ -422,6 +446,10 @@
         self.sweep(0.0)
 
 
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
 def _idle_since(connection: Connection) -> float:
     return connection.idle_since
 
@@ -438,7 +466,7 @@
     """One attempt at a node. It ends once, with the outcome that the facts prove."""
 
     __slots__ = ("host", "open", "number", "node", "pool", "begun_at", "expires_at", "connection", "over",
-                 "started", "hold_max", "timer")
+                 "started", "hold_max", "timer", "unfinished")
 
     def __init__(self, host: Courier, item: Open, number: int, node: int, pool: Pool, now: float,
                  expires: float) -> None:
@@ -449,17 +477,46 @@
         self.over = self.started = False
         self.hold_max = HOLD_MAX
         self.timer: Handle | None = None
+        self.unfinished = False
 
     def chunks(self, now: float) -> list[bytes]:
         """The request as it goes out; its budget is what this attempt has left."""
         call = self.open.call
+        if call.flowing:
+            self.unfinished = not call.whole
+            call.client.flow(True)
         left = max(self.expires_at - now, 1.0) / 1e3
         head = b"%b %b HTTP/1.1\r\nX-Budget: %.3f\r\n%b\r\n"
-        return [head % (call.method, call.url, left, b"".join(call.passed)), *call.body]
+        data = [head % (call.method, call.url, left, b"".join(call.passed)), *call.body]
+        if call.chunked:
+            data[1:] = [_chunk(piece) for piece in call.body]
+            if call.whole:
+                data.append(LAST_CHUNK)
+        return data
+
+    def more(self, data: bytes) -> None:
+        """Another piece of the body; before there is a connection it is held with the rest."""
+        if self.connection is not None:
+            self.connection.more(_chunk(data) if self.open.call.chunked else data)
+
+    def body_ended(self) -> None:
+        """The body is whole: from now on the node's time counts, and the request can run."""
+        self.unfinished = False
+        if self.connection is not None:
+            self.connection.more(LAST_CHUNK if self.open.call.chunked else b"")
+
+    def unwritten_to(self, pools: Collection[object]) -> bool:
+        """Whether it goes to one of these pools, and a part of the request is still to be written."""
+        return self.pool in pools and self.connection is not None and not self.connection.sent
+
+    def blocked(self, on: bool) -> None:
+        """The node reads more slowly than the body comes, or has caught up."""
+        if not self.over:
+            self.open.call.client.flow(not on)
 
     def stream(self, answer: Answer) -> bool:
-        if answer.code != 200:
-            self._end(_status(answer, True))
+        if answer.code != 200 or self.unfinished:
+            self._end(_status(answer, not self.unfinished))
             return False
         self.started = True
         if not self.host.stream_started(self, answer):
@@ -485,6 +542,8 @@
         counts = self.open.counts
         if counts is not None:
             counts.relayed += 1
+        if self.open.call.flowing:  # a body that took its time is no sign of a slow node
+            self.begun_at = self.host.clock.now()
 
     def starved(self, _: object = None) -> None:
         """There was no descriptor to dial with: nothing went out, and the node is not to blame."""
--- /dev/null
+++ b/tests/test_bodies.py
@@ -0,0 +1,354 @@
+"""Long bodies, which go on to a box as they come: memory, slow boxes, repeats, drains, clients that stop."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from notchflow.interface import Arrived, Outcome, Request, Send, Spent, Status, Timer
+from notchflow.net import downstream
+from notchflow.net.exchange import Call
+from tests.helpers import make_balancer, sends
+from tests.rig import Client, Peer, Rig, answer, run, until
+
+MB = 1 << 20
+PUT: dict[str, Any] = {"method": "PUT", "x_call_class": "keyed", "idempotency_key": "k1"}
+Script = Callable[["Box", str, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+class Box(Peer):
+    """A node whose script reads the request itself, from the end of its head on."""
+
+    def __init__(self, script: Script) -> None:
+        super().__init__()
+        self.raw = script
+        self.got = hashlib.sha256()
+        self.size = self.begun = self.ended = 0
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open.add(writer)
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+                self.begun += 1
+                await self.raw(self, head, reader, writer)
+                self.ended += 1
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.open.discard(writer)
+            writer.close()
+
+    def take(self, data: bytes) -> None:
+        """Counts a part of the body."""
+        self.got.update(data)
+        self.size += len(data)
+
+
+async def whole(box: Box, head: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Reads all and answers."""
+    if "transfer-encoding: chunked" in head:
+        assert "content-length" not in head
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            box.take(await reader.readexactly(size))
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+    else:
+        left = int(head.partition("content-length: ")[2].partition("\r")[0] or 0)
+        while left:
+            data = await reader.read(min(left, MB))
+            if not data:
+                raise ConnectionError("cut off")
+            left -= len(data)
+            box.take(data)
+    writer.write(answer(b"taken"))
+
+
+async def turned_away(box: Box, _: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Has no room, and says so before the body has come."""
+    await reader.readexactly(1)
+    writer.write(answer(b"", "503 Service Unavailable", X_Rejected="1"))
+    await reader.read()
+
+
+class BodyRig(Rig):
+    """The proxy between boxes that read as they like; two requests in a hundred seconds are no load."""
+
+    def __init__(self, *scripts: Script, memory_mb: float = 64, **more: Any) -> None:
+        super().__init__(limits={"memory_mb": memory_mb}, **more)
+        self.boxes = [Box(script) for script in scripts]
+        self.nodes = list(self.boxes)
+
+    @property
+    def size(self) -> int:
+        """Bytes of bodies that have reached boxes."""
+        return sum(box.size for box in self.boxes)
+
+    @property
+    def call(self) -> Call:
+        """The one request that is arriving."""
+        (call,) = [c.arriving for c in self.host.front.clients if c.arriving is not None]
+        return call
+
+
+def body_of(size: int) -> bytes:
+    return b"".join(hashlib.sha256(b"%d" % n).digest() for n in range(64)) * (size // 2048)
+
+
+async def push(client: Client, data: bytes) -> None:
+    """Writes as fast as the proxy reads."""
+    for at in range(0, len(data), MB):
+        client.writer.write(data[at : at + MB])
+        await client.writer.drain()
+
+
+def test_a_body_larger_than_memory_passes_through() -> None:
+    async def test() -> None:
+        async with BodyRig(whole, whole) as rig:
+            body, most = body_of(32 * MB), 0
+            assert len(body) > 3 * rig.host.held_max
+            client = await rig.connect()
+            client.send(**PUT, content_length=str(len(body)))
+            for at in range(0, len(body), MB):
+                await push(client, body[at : at + MB])
+                most = max(most, rig.host.held)
+            seen = await client.receive()
+            assert seen is not None and seen.status == 200
+            assert most < rig.host.held_max + MB and rig.host.held == 0
+            (box,) = [box for box in rig.boxes if box.size]
+            assert box.got.digest() == hashlib.sha256(body).digest()
+            assert rig.host.figures.classes["keyed"].relayed == 1
+            assert (await client.ask()).status == 200, "the connection is good for more"
+    run(test(), 30)
+
+
+def test_chunks_come_as_chunks_and_trailers_end_here() -> None:
+    async def test() -> None:
+        async with BodyRig(whole) as rig:
+            body = body_of(MB)
+            client = await rig.connect()
+            client.send(**PUT, transfer_encoding="chunked")
+            for at in range(0, MB, 100_000):
+                piece = body[at : at + 100_000]
+                client.writer.write(b"%x;name=value\r\n%b\r\n" % (len(piece), piece))
+            client.writer.write(b"0\r\nX-After: 1\r\n\r\n")
+            seen = await client.receive()
+            assert seen is not None and seen.status == 200
+            assert rig.boxes[0].got.digest() == hashlib.sha256(body).digest()
+    run(test())
+
+
+@pytest.mark.parametrize("memory_mb", [64, 512])
+def test_a_box_that_stops_reading_holds_the_client_and_costs_it_no_time(memory_mb: float) -> None:
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def waits(box: Box, head: str, *streams: Any) -> None:
+            await release.wait()
+            await whole(box, head, *streams)
+
+        async with BodyRig(waits, memory_mb=memory_mb) as rig:
+            body = body_of(32 * MB)
+            client = await rig.connect()
+            client.send(**PUT, content_length=str(len(body)))
+            pushing = asyncio.create_task(push(client, body))
+            clients = rig.host.front.clients
+            await until(lambda: any(c.stopped_at is not None for c in clients) and rig.boxes[0].begun)
+            (kept,) = clients
+            assert rig.host.held < rig.host.held_max + MB and rig.call.size < len(body)
+            kept.close_if_over(rig.host.clock.now() + 5_000)
+            assert not kept.closing, "it is not the client that is slow"
+            release.set()
+            await pushing
+            seen = await client.receive()
+            assert seen is not None and seen.status == 200
+            assert rig.boxes[0].got.digest() == hashlib.sha256(body).digest()
+    run(test(), 30)
+
+
+def test_a_box_that_reads_no_more_is_given_up_and_another_gets_all_of_it() -> None:
+    async def test() -> None:
+        over = asyncio.Event()
+
+        async def deaf(box: Box, *_: Any) -> None:
+            await over.wait()
+
+        async with BodyRig(deaf, deaf, memory_mb=512) as rig:
+            body = body_of(16 * MB)
+            client = await rig.connect()
+            client.send(**PUT, content_length=str(len(body)))
+            pushing = asyncio.create_task(push(client, body))
+            clients = rig.host.front.clients
+            await until(lambda: any(c.stopped_at is not None for c in clients)
+                        and any(box.begun for box in rig.boxes))
+            first = next(box for box in rig.boxes if box.begun)
+            for box in rig.boxes:
+                box.raw = whole
+            (kept,) = clients
+            kept.close_if_over(rig.host.clock.now() + downstream.STALLED_MS + 1)
+            await pushing
+            seen = await client.receive()
+            assert seen is not None and seen.status == 200
+            (second,) = [box for box in rig.boxes if box is not first]
+            assert second.got.digest() == hashlib.sha256(body).digest()
+            over.set()
+    run(test(), 30)
+
+
+def test_who_is_turned_away_is_sent_elsewhere_with_all_that_has_come() -> None:
+    async def test() -> None:
+        async with BodyRig(turned_away, turned_away) as rig:
+            body = body_of(4 * MB)
+            client = await rig.connect()
+            client.send(**PUT, content_length=str(len(body)))
+            await push(client, body[: 2 * MB])
+            await until(lambda: any(box.begun for box in rig.boxes))
+            first = next(box for box in rig.boxes if box.begun)
+            (second,) = [box for box in rig.boxes if box is not first]
+            second.raw = whole
+            await until(lambda: second.size)
+            await push(client, body[2 * MB :])
+            seen = await client.receive()
+            assert seen is not None and seen.status == 200
+            assert second.got.digest() == hashlib.sha256(body).digest()
+    run(test())
+
+
+def test_once_the_start_is_not_held_no_other_box_is_tried_and_the_client_may() -> None:
+    """It never ran, as its last byte was not written: that is promised to the client."""
+    async def test() -> None:
+        gone = asyncio.Event()
+
+        async def breaks(box: Box, _: str, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            while not gone.is_set():
+                box.take(await reader.read(MB))
+            writer.transport.abort()
+
+        async with BodyRig(breaks, breaks, memory_mb=64) as rig:
+            told = rig.told(Spent)
+            body = body_of(16 * MB)
+            client = await rig.connect()
+            client.send(**PUT, content_length=str(len(body)))
+            await push(client, body[: 12 * MB])
+            await until(lambda: told)
+            assert rig.call.spent
+            gone.set()
+            client.writer.write(body[12 * MB : 13 * MB])
+            seen = await client.receive()
+            assert seen is not None and seen.status == 503
+            assert sum(box.begun for box in rig.boxes) == 1 and rig.host.held == 0
+            assert not rig.host.open and not rig.host.balancer.pending
+    run(test())
+
+
+def test_a_box_that_begins_to_drain_gets_no_last_byte() -> None:
+    """With its last byte a request counts as new there."""
+    async def test() -> None:
+        async with BodyRig(whole, whole) as rig:
+            _, watch = await rig.calls.get()
+            body = body_of(4 * MB)
+            client = await rig.connect()
+            client.send(**PUT, content_length=str(len(body)))
+            await push(client, body[: 2 * MB])
+            await until(lambda: rig.size)
+            (first,) = [n for n, box in enumerate(rig.boxes) if box.begun]
+            watch.write(rig.listing(42, False, [rig.entry(first, phase="draining")]))
+            await until(lambda: rig.boxes[1 - first].begun)
+            await push(client, body[2 * MB :])
+            seen = await client.receive()
+            assert seen is not None and seen.status == 200
+            assert rig.boxes[first].ended == 0 or rig.boxes[first].size < len(body)
+            assert rig.boxes[1 - first].got.digest() == hashlib.sha256(body).digest()
+    run(test())
+
+
+@pytest.mark.parametrize("way", ["reset", "end", "chunk", "silence"])
+def test_a_client_that_stops_in_the_midst_leaves_nothing_behind(way: str) -> None:
+    async def test() -> None:
+        async with BodyRig(whole) as rig:
+            client = await rig.connect()
+            framing: dict[str, Any] = {"content_length": str(4 * MB)}
+            if way == "chunk":
+                framing = {"transfer_encoding": "chunked"}
+            client.send(**PUT, **framing)
+            if way == "chunk":
+                client.writer.write(b"%x\r\n" % (4 * MB))
+            await push(client, body_of(MB))
+            await until(lambda: rig.size == MB)
+            (kept,) = rig.host.front.clients
+            if way == "reset":
+                client.reset()
+            elif way == "end":
+                client.writer.write_eof()
+            elif way == "chunk":
+                client.writer.write(body_of(3 * MB) + b"nonsense")
+            else:
+                kept.close_if_over(rig.host.clock.now() + 60_000)
+            if way in ("chunk", "silence"):
+                seen = await client.receive()
+                assert seen is not None and seen.status == {"chunk": 400, "silence": 408}[way]
+                assert rig.host.figures.classes["keyed"].faulted == 1
+            await until(lambda: not rig.host.open and not rig.boxes[0].open)
+            assert rig.host.held == 0 and not rig.host.balancer.pending and rig.boxes[0].ended == 0
+            assert rig.host.figures.open == 0
+    run(test())
+
+
+@pytest.mark.parametrize("path, status", [("/elsewhere/00aa", 404), ("/api/00aa", 503)])
+def test_a_long_body_that_nobody_wants_is_answered_before_it_has_come(path: str, status: int) -> None:
+    async def test() -> None:
+        async with BodyRig(whole, members=[]) as rig:
+            client = await rig.connect()
+            client.send("PUT", path, x_call_class="keyed", content_length=str(4 * MB))
+            await push(client, body_of(MB))
+            seen = await client.receive()
+            assert seen is not None and seen.status == status
+            assert rig.host.figures.open == 0 and rig.size == 0
+            await push(client, body_of(3 * MB))  # read and dropped: a reset would cost it the answer
+            assert (await client.ask(path="/health/ready")).status == 200, "the connection is good for more"
+            await until(lambda: rig.host.front.idle)
+            client.send("PUT", path, x_call_class="keyed", connection="close", content_length=str(4 * MB))
+            await push(client, body_of(MB))
+            seen = await client.receive()
+            assert seen is not None and seen.status == status and seen.headers["connection"] == "close"
+            await push(client, body_of(3 * MB))
+            assert await client.receive() is None and client.reader.at_eof()
+    run(test())
+
+
+def test_the_time_of_a_body_is_neither_the_clients_nor_the_boxs() -> None:
+    async def test() -> None:
+        async with BodyRig(whole) as rig:
+            outcomes = rig.told(Outcome)
+            client = await rig.connect()
+            client.send(**PUT, x_budget="0.3", content_length=str(MB))
+            await push(client, body_of(MB // 2))
+            await until(lambda: rig.size == MB // 2)
+            await asyncio.sleep(0.5)
+            assert rig.call.open is not None and rig.call.open.deadline > rig.host.clock.now() + 5_000
+            await push(client, body_of(MB // 2))
+            seen = await client.receive()
+            assert seen is not None and seen.status == 200, "0.3 s from the last byte on"
+            assert outcomes[0].latency_ms < 300
+    run(test())
+
+
+def test_no_second_copy_goes_out_of_a_body_that_is_still_coming() -> None:
+    balancer = make_balancer()
+    for number in range(40):  # learns what is usual
+        (sent,) = sends(balancer.handle(number, Request(number, "keyed", 5_000, "k", write=True)))
+        balancer.handle(number + 1, Outcome(number, 0, sent.node, Status.OK, 1.0, True))
+    (sent,) = sends(balancer.handle(100, Request(100, "keyed", 90_000, "k", write=True, arriving=True)))
+    node = balancer.pending[100].out[0][0]
+    node.newest = 1e9  # what was sent there later has been served
+    late = [a for a in balancer.handle(5_000, Timer("second")) if isinstance(a, Send)]
+    assert not late
+    balancer.handle(5_001, Arrived(100, 6_000))
+    assert balancer.pending[100].deadline == 6_000
+    balancer.handle(5_002, Spent(100))
+    assert not sends(balancer.handle(5_003, Outcome(100, 0, sent.node, Status.FULL))), "no attempt anew"
