Hosted: standby and active by the administration API, and figures by tenant

Need: operators of the hosted service could send clients away on the console alone, and no figure told of a tenant.

--- a/notchflow/admin/api.py
+++ b/notchflow/admin/api.py
@@ -35,6 +35,10 @@
 
     async def boxes(self) -> list[dict[str, Any]]: ...
 
+    async def proxy(self) -> dict[str, Any]: ...
+
+    async def duty(self, active: bool) -> bool: ...
+
 
 class Backend:
     """The operations on their one thread, and what they change on the running proxy."""
@@ -58,6 +62,18 @@
         return done.result
 
 
+    async def duty(self, actor: Actor, active: bool) -> m.ProxyView:
+        """Sends clients away or takes them again, then notes who wanted it: a disk that is full must not
+        keep a proxy in service."""
+        before = m.ProxyView.model_validate(await self.live.proxy())
+        if not await self.live.duty(active):
+            raise ApiProblem(409, "conflict", "The process is to end; start another.")
+        after = m.ProxyView.model_validate(await self.live.proxy())
+        if after.phase != before.phase:
+            await self.read(self.operations.duty_changed, actor, before.phase, after.phase)
+        return after
+
+
 def _problems(*statuses: int) -> dict[int | str, dict[str, Any]]:
     shape = {"content": {PROBLEM: {"schema": {"$ref": "#/components/schemas/Problem"}}}}
     return {status: {"description": m.Problem.__doc__ or "", **shape} for status in statuses}
@@ -199,6 +215,23 @@
     async def revoke_token(actor: Caller, token: IdPath) -> None:
         await backend.change(operations.revoke_token, actor, token)
 
+    # -- the proxy itself
+    @app.get("/v1/proxy", tags=["proxy"])
+    async def read_proxy(actor: Caller) -> m.ProxyView:
+        operations.operator(actor)
+        return m.ProxyView.model_validate(await backend.live.proxy())
+
+    @app.post("/v1/proxy/standby", tags=["proxy"], responses=_problems(409))
+    async def stand_by(actor: Caller) -> m.ProxyView:
+        """Sends clients away: readiness says no, what still comes is served, connections end within 2 s."""
+        operations.operator(actor)
+        return await asyncio.shield(asyncio.ensure_future(backend.duty(actor, active=False)))
+
+    @app.post("/v1/proxy/active", tags=["proxy"], responses=_problems(409))
+    async def back_to_work(actor: Caller) -> m.ProxyView:
+        operations.operator(actor)
+        return await asyncio.shield(asyncio.ensure_future(backend.duty(actor, active=True)))
+
     # -- what is seen
     @app.get("/v1/boxes", tags=["boxes"])
     async def list_boxes(actor: Caller) -> m.Boxes:
--- a/notchflow/admin/client.py
+++ b/notchflow/admin/client.py
@@ -74,7 +74,8 @@
                      help="the API (default: $NOTCHFLOW_ADMIN, else %(default)s)")
     top.add_argument("--token-file", type=Path, help="a file with the token (default: $NOTCHFLOW_TOKEN)")
     top.add_argument("--json", action="store_true", help="JSON instead of tables")
-    about = top.add_subparsers(dest="about", required=True, metavar="tenants|keys|limits|boxes|events|tokens")
+    about = top.add_subparsers(dest="about", required=True,
+                               metavar="tenants|keys|limits|boxes|proxy|events|tokens")
 
     def calls(name: str) -> Any:
         return about.add_parser(name).add_subparsers(dest="call", required=True)
@@ -103,6 +104,9 @@
     for name, kind in LIMITS.items():
         put.add_argument("--" + name.replace("_", "-"), type=kind)
     calls("boxes").add_parser("list")
+    proxy = calls("proxy")
+    for name in ("show", "standby", "active"):
+        proxy.add_parser(name)
     calls("events").add_parser("list").add_argument("--tenant", default="")
     tokens = calls("tokens")
     tokens.add_parser("list")
@@ -149,6 +153,10 @@
             return client.change("PUT", o.tenant, f"/v1/tenants/{o.tenant}/limits", now | given)
         case "boxes", _:
             return client.call("GET", "/v1/boxes")["items"]
+        case "proxy", "show":
+            return client.call("GET", "/v1/proxy")
+        case "proxy", _:
+            return client.call("POST", f"/v1/proxy/{o.call}")
         case "events", _:
             return list(client.pages("/v1/events", tenant=o.tenant))
         case "tokens", "list":
--- a/notchflow/admin/models.py
+++ b/notchflow/admin/models.py
@@ -160,6 +160,17 @@
     items: list[BoxView]
 
 
+class ProxyView(BaseModel):
+    """The running proxy."""
+
+    phase: Literal["active", "standby", "leaving"]
+    serving: bool = Field(description="whether this process takes clients")
+    open_requests: int
+    clients: int
+    descriptors: int
+    bytes_held: int
+
+
 class EventView(BaseModel):
     """One line of the audit log."""
 
--- a/notchflow/admin/operations.py
+++ b/notchflow/admin/operations.py
@@ -319,6 +319,12 @@
         with self.db.change():
             return self.issue_token(Actor("service", None), m.TokenCreate(label="first")).result[1]
 
+    # -- the proxy itself
+    def duty_changed(self, actor: Actor, before: str, after: str) -> None:
+        """Notes that an operator has sent clients away, or wants them again."""
+        with self.db.change():
+            self._audit(actor, f"proxy.{after}", None, "proxy", {"phase": before}, {"phase": after})
+
     # -- the audit log
     def events(self, actor: Actor, after: int, most: int, tenant: str | None) -> list[AuditEvent]:
         if actor.tenant is not None and tenant not in (None, actor.tenant):
--- a/notchflow/hosting/service.py
+++ b/notchflow/hosting/service.py
@@ -29,6 +29,7 @@
 from notchflow.net.host import Host
 from notchflow.net.listing import Listing, parse_address
 from notchflow.state.database import Database, StateError
+from notchflow.tenancy import figures
 from notchflow.tenancy.directory import Directory
 from notchflow.tenancy.door import Face, TenantDoor
 from notchflow.tenancy.model import Tenant, TenantState
@@ -49,6 +50,7 @@
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, door: TenantDoor) -> None:
         self.seen: dict[int, tuple[str, str, State, float]] = {}  # name, address, state, told at (ms)
+        self.tenants = door.directory
         super().__init__(config, loop, door)
 
     def apply(self, listing: Listing, kind: ListKind) -> None:
@@ -68,6 +70,16 @@
         at = before[3] if before is not None and before[2] is state else now
         self.seen[node] = name, address, state, at
 
+    def report(self) -> str:
+        """The platform's figures, and those of tenants."""
+        return super().report() + "\n".join(figures.lines(self.tenants.entries.values())) + "\n"
+
+    def view(self) -> dict[str, Any]:
+        """The proxy itself, for those who ask the API."""
+        return {"phase": self.duty.phase.value, "serving": self.serving(), "descriptors": self.used,
+                "open_requests": self.figures.open, "bytes_held": self.held,
+                "clients": sum(len(front.clients) for front in self.fronts)}
+
     def boxes(self) -> list[dict[str, Any]]:
         nodes = self.balancer.fleet.nodes
         return [{"id": name, "address": address, "state": state.value, "changed_at": at / 1e3,
@@ -111,6 +123,12 @@
     async def boxes(self) -> list[dict[str, Any]]:
         return await self.ask(self.host.boxes)
 
+    async def proxy(self) -> dict[str, Any]:
+        return await self.ask(self.host.view)
+
+    async def duty(self, active: bool) -> bool:
+        return await self.ask(self.host.active if active else self.host.standby)
+
 
 def apply(directory: Directory, changes: Iterable[Change]) -> None:
     now = time.monotonic()
--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -36,6 +36,7 @@
     def __init__(self, operations: Operations) -> None:
         self.operations = operations
         self.told: list[Change] = []
+        self.phase = "active"
 
     async def apply(self, changes: Sequence[Change]) -> None:
         self.told += changes
@@ -43,6 +44,15 @@
     async def usage(self, tenant: str) -> dict[str, Any]:
         return {"in_hand": 0, "bytes_held": 0, "asked": 3, "served": 2, "failed": 0, "refused": {"rate": 1}}
 
+    async def proxy(self) -> dict[str, Any]:
+        return {"phase": self.phase, "serving": self.phase != "leaving", "open_requests": 0, "clients": 2,
+                "descriptors": 9, "bytes_held": 0}
+
+    async def duty(self, active: bool) -> bool:
+        if self.phase != "leaving":
+            self.phase = "active" if active else "standby"
+        return self.phase != "leaving"
+
     async def boxes(self) -> list[dict[str, Any]]:
         return [
             {"id": "s-1", "address": "127.0.0.1:1", "state": "draining", "in_flight": 1, "changed_at": 5.0}
@@ -153,6 +163,7 @@
             ("GET", "/v1/tenants"),
             ("POST", "/v1/tenants"),
             ("GET", "/v1/boxes"),
+            ("POST", "/v1/proxy/standby"),
             ("GET", "/v1/events"),
             ("DELETE", "/v1/tenants/alfa"),
             ("GET", "/v1/tokens"),
@@ -202,6 +213,9 @@
             ("PUT", "/v1/tenants/alfa/limits", {"rate_per_s": 1e6}),
             ("POST", "/v1/tenants", {"id": "gamma"}),
             ("GET", "/v1/boxes", None),
+            ("GET", "/v1/proxy", None),
+            ("POST", "/v1/proxy/standby", None),
+            ("POST", "/v1/proxy/active", None),
             ("GET", "/v1/tokens", None),
             ("POST", "/v1/tokens", {}),
         ):
@@ -210,6 +224,36 @@
     run(test)
 
 
+def test_clients_are_sent_away_and_taken_again_and_the_log_says_by_whom(api: Api) -> None:
+    async def test() -> None:
+        for call, phase in (("standby", "standby"), ("standby", "standby"), ("active", "active")):
+            done = await api.call("POST", f"/v1/proxy/{call}")
+            assert done.status_code == 200 and done.json()["phase"] == phase
+        events = [e for e in (await api.call("GET", "/v1/events")).json()["items"] if e["target"] == "proxy"]
+        assert [(e["action"], e["before"], e["after"]) for e in events] == [
+            ("proxy.standby", {"phase": "active"}, {"phase": "standby"}),
+            ("proxy.active", {"phase": "standby"}, {"phase": "active"}),
+        ], "a call that changes nothing is no event"
+        api.live.phase = "leaving"
+        for call in ("standby", "active"):
+            done = await api.call("POST", f"/v1/proxy/{call}")
+            assert done.status_code == 409 and "start another" in done.json()["detail"]
+
+    run(test)
+
+
+def test_a_full_disk_keeps_no_proxy_in_service(api: Api, monkeypatch: pytest.MonkeyPatch) -> None:
+    def full(*_: object) -> None:
+        raise OSError(28, "No space left on device")
+
+    async def test() -> None:
+        monkeypatch.setattr(api.operations, "duty_changed", full)
+        done = await api.call("POST", "/v1/proxy/standby")
+        assert done.status_code == 500 and api.live.phase == "standby"
+
+    run(test)
+
+
 def test_a_repeated_post_makes_one_thing_and_shows_its_key_once(api: Api) -> None:
     async def test() -> None:
         await api.tenant("alfa")
--- a/tests/hosting/test_commands.py
+++ b/tests/hosting/test_commands.py
@@ -10,6 +10,8 @@
 import sys
 from pathlib import Path
 
+import httpx
+
 from notchflow.state.database import Database
 from notchflow.tenancy.keys import KEY, mint
 from notchflow.tenancy.model import ApiKey, Tenant
@@ -92,6 +94,13 @@
             assert json.loads(await admin("--json", "tenants", "usage", "alfa"))["served"] == 1
             assert "s-0" in await admin("boxes", "list")
             assert "state: suspended -> active" in await admin("events", "list")
+            assert "phase: active" in await admin("proxy", "show")
+            assert "phase: standby" in await admin("proxy", "standby")
+            ready = f"http://127.0.0.1:{service.port}/health/ready"
+            async with httpx.AsyncClient(trust_env=False) as http:
+                assert (await http.get(ready)).status_code == 503
+                assert "serving: true" in await admin("proxy", "active")
+                assert (await http.get(ready)).status_code == 200
             await admin("keys", "revoke", "alfa", key["id"])
             assert (await service.ask("alfa")).status == 401
             own = json.loads(await admin("--json", "tokens", "issue", "--tenant", "alfa"))
--- a/tests/hosting/test_service.py
+++ b/tests/hosting/test_service.py
@@ -355,6 +355,7 @@
             figures = (await call(console, "GET", "/status/metrics")).body.decode()
             assert 'svc_operations{priority="fresh",status="fulfilled"} 1\n' in figures
             assert "svc_cfg_accepted 1\n" in figures
+            assert 'svc_tenant_served{tenant="alfa"} 2\n' in figures
             assert (await call(console, "POST", "/standby")).status == 200
             asked = await service.ask("alfa", path="/menus/d1")
             assert (asked.status, asked.headers["connection"]) == (200, "close")
