Small pieces of a long body go on as they come, and are counted

Only reads of over 8 KiB were passed on at once; smaller ones, as slow clients send them, piled up until the body's end, uncounted once its start was dropped. Also, the rest of a body that is answered already may be no longer than any body. The new test fails on the former code.

--- a/notchflow/net/downstream.py
+++ b/notchflow/net/downstream.py
@@ -111,8 +111,9 @@
             for at in range(0, len(data), SLICE):
                 if not self.closing:
                     self._feed(data[at : at + SLICE])
-            if self.arriving is not None and self.arriving.flowing:
-                self._pass_pieces(self.arriving)
+        if self.arriving is not None and self.arriving.flowing:
+            self._pass_pieces(self.arriving)
+            if len(data) > SLICE:
                 self._end_turn()
         self._step()
         if self.current is None and self.arriving is None and not self.waiting and not self.closing:
@@ -252,10 +253,10 @@
         if call is None:
             return
         call.size += len(data)
-        if call.dropped:
-            return
         if call.size > BODY_MAX:
             self._fault(413)
+        elif call.dropped:
+            return
         elif call.flowing or self._flows(call, len(data)):
             self._flow(call, data)
         elif call.reply is None and not call.spilled:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -354,6 +354,22 @@
     assert not sends(balancer.handle(5_003, Outcome(100, 0, sent.node, Status.FULL))), "no attempt anew"
 
 
+def test_small_pieces_go_on_as_they_come_too() -> None:
+    """Guards against pieces that pile up, uncounted, until the body's end."""
+    async def test() -> None:
+        async with BodyRig(whole) as rig:
+            client = await rig.connect()
+            client.send(**PUT, content_length=str(MB))
+            await push(client, body_of(MB // 2))
+            await until(lambda: rig.size == MB // 2)
+            (kept,) = rig.host.front.clients
+            for count in range(1, 9):
+                client.writer.write(bytes(1_000))
+                await until(lambda count=count: rig.size == MB // 2 + count * 1_000)  # type: ignore[misc]
+                assert not kept.pieces
+    run(test())
+
+
 def test_neither_a_long_body_nor_a_long_answer_takes_more_than_one_read_of_a_turn(
         monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against 8 MiB read at once, while all other clients wait (100 ms beside a body of 32 MB)."""
