The load bound acts on how slow a node answers, where many proxies share it

Need: of forty proxies none has more than one or two requests at a node, so that the bound in flight never acts (BOUND_MIN, Fleet.bounded), while all of them together load one home twice its due.

Change: by Little's law how slow a node answers is what all have in flight there. An answer's time over the usual of its class, and the wait of the oldest request still out, is compared with the median node; over the bound the share that still goes home shrinks with the square.

--- a/notchflow/logic.py
+++ b/notchflow/logic.py
@@ -14,6 +14,7 @@
 from heapq import heappop, heappush
 from typing import Any, Final
 
+from notchflow import shares
 from notchflow.interface import (
     Action, Arrived, Cancel, ClientGone, Effect, Event, Fail, Group, ListKind, Member, Membership, Outcome,
     Refuse, Request, RequestClass, Retune, Send, SetTimer, Settings, Spent, State, Status, StreamStarted,
@@ -45,6 +46,9 @@
 WHOLE_MAX: Final = 4 * TOP_K  # and those whose whole order is remembered
 BOUND: Final = 1.6
 BOUND_MIN: Final = 4.0  # in flight below which the bound never acts
+SLOW_GAIN: Final = 0.5  # weight of one answer in how slow a server is held to be
+SLOW_MS: Final = 3_000.0  # after which most of that is forgotten: who is left alone recovers unseen
+SLOW_POWER: Final = 2.0  # of how far a server is over the bound: what goes on shrinks faster than it grows
 WARM_STEP_MS: Final = 500.0  # a cold server's weight is raised this often
 # --- weights learned from latency
 LEARN_MS: Final = 1_000.0  # a kind's weight is corrected this often
@@ -247,12 +251,14 @@
     """One server as this balancer knows it."""
 
     __slots__ = ("id", "salt", "member", "weight", "in_flight", "fails", "answered_at", "cold_until",
-                 "ejected_until", "pause", "cold_sent", "trial", "throttle", "newest", "mutes")
+                 "ejected_until", "pause", "cold_sent", "trial", "throttle", "newest", "mutes",
+                 "slow", "slow_at", "out")
 
     def __init__(self, member: Member) -> None:
         self.id = member.node
         self.salt = mixed(member.node)
         self.in_flight = 0
+        self.out: dict[tuple[int, int], float] = {}  # attempts under way: when each was sent
         self.cold_until = -math.inf
         self.restart(member)
 
@@ -266,6 +272,7 @@
         self.trial = False
         self.cold_sent: deque[float] = deque()
         self.throttle = Throttle()
+        self.slow, self.slow_at = 1.0, -math.inf
         self.mutes: dict[str, Mute] = {}
 
 
@@ -273,7 +280,7 @@
     """The servers, their order for each key, warm-up, load and health."""
 
     def __init__(self, settings: Settings) -> None:
-        self.settings = settings
+        self.state(settings)
         self.nodes: dict[int, Node] = {}
         self.ready: list[Node] = []
         self.origin: Node | None = None
@@ -287,9 +294,16 @@
         self.memo: dict[str, list[Node]] = {}
         self.whole: dict[str, list[Node]] = {}  # the same of hot keys, with all places
         self.in_flight = 0
+        self.latency = 0.0  # usual, of all classes
+        self.usual = 1.0  # slowness of the servers at large
         self.cold_until = 0.0
         self.warmed_at = self.learned_at = -math.inf
 
+    def state(self, settings: Settings) -> None:
+        """The settings state other figures."""
+        self.settings = settings
+        self.many = shares.many(settings.balancers)
+
     # -- the list
     def update(self, now: float, event: Membership) -> None:
         """Takes over a list or changes to it. A cached list may be stale, but it is all there is."""
@@ -347,6 +361,9 @@
         """Warms up cold servers and corrects the weights of kinds."""
         for node in self.ready:
             node.throttle.fade()
+        if self.many and self.ready:
+            slows = sorted(self.slowness(n, now, False) for n in self.ready)
+            self.usual = max(1.0, slows[int(0.5 * (len(slows) - 1))])
         if now >= self.learned_at + LEARN_MS:
             self.learned_at = now
             if self._learn():
@@ -432,6 +449,26 @@
         """At its load bound: far over its due part of what this instance has in flight."""
         return node.in_flight >= BOUND_MIN and node.in_flight > BOUND * self.in_flight * self.share(node) + 1
 
+    def _slow(self, now: float, node: Node, ratio: float) -> None:
+        """Counts how slow an answer was, as a multiple of what is usual for its class."""
+        node.slow = self.slowness(node, now, False)
+        node.slow += SLOW_GAIN * (ratio - node.slow)
+        node.slow_at = now
+
+    def slowness(self, node: Node, now: float, waiting: bool = True) -> float:
+        """How slow a server is, as a multiple of the fleet. By Little's law that is also what all balancers
+        together have in flight there, as a multiple of what is due to it."""
+        slow = 1 + (node.slow - 1) * math.exp((node.slow_at - now) / SLOW_MS)
+        if waiting and node.out and self.latency:
+            slow = max(slow, (now - next(iter(node.out.values()))) / self.latency)
+        return slow
+
+    def crowded(self, node: Node, now: float, draw: float) -> bool:
+        """The load bound where many balancers each have too little in flight to see it. A part goes there all
+        the same: all act on the same signs, and would else leave and come back together."""
+        slow = self.slowness(node, now) / self.usual
+        return slow > BOUND and draw >= (BOUND / slow) ** SLOW_POWER
+
     def overspent(self, node: Node, now: float, rate: float) -> bool:
         """A cold server whose budget with this instance is spent: a short burst must not push it over."""
         if not self.cold(node, now):
@@ -443,7 +480,8 @@
         return len(sent) >= max(COLD_BURST, COLD_SLACK * rules.overload_factor * due)
 
     # -- what was seen
-    def sent(self, node: Node, now: float, cls: str) -> None:
+    def sent(self, node: Node, now: float, cls: str, attempt: tuple[int, int]) -> None:
+        node.out[attempt] = now
         if cls in node.mutes:
             node.mutes[cls].out += 1
         node.in_flight += 1
@@ -453,6 +491,7 @@
 
     def ended(self, now: float, node: Node, outcome: Outcome, cls: RequestClass) -> None:
         """An attempt ended: latencies and health follow from it."""
+        node.out.pop((outcome.id, outcome.attempt), None)
         if node.in_flight > 0:
             node.in_flight -= 1
         if self.in_flight > 0:
@@ -473,10 +512,12 @@
             took = outcome.latency_ms
             mean = self.class_latency.get(cls.name, took)
             self.class_latency[cls.name] = mean + SMOOTH * (took - mean)
+            self.latency += SMOOTH * (took - self.latency) if self.latency else took
             ratio = min(took / (mean if mean > 0.1 else 0.1), REFUSED_RATIO)
         elif status in (FULL, TIMEOUT):  # else a kind that answers little in time seems fast
             ratio = REFUSED_RATIO
         if ratio:
+            self._slow(now, node, ratio)
             total = self.kind_slow.get(node.member.kind)
             if total is None:
                 total = self.kind_slow[node.member.kind] = [0.0, 0.0]
@@ -618,7 +659,7 @@
         """New settings: what was learned of servers, keys and times stays. Requests in hand keep their class,
         and no more attempts than were allowed then; where fewer are now, that holds for them too."""
         self._take_over(settings)
-        self.fleet.settings = settings
+        self.fleet.state(settings)
         for pending in self.pending.values():
             pending.most = min(pending.most, self.max_attempts)
         self.fleet.update(now, Membership(ListKind.DELTA))  # warm-up times may be others
@@ -808,7 +849,8 @@
             # That it is warm and idle, as is usual, is asked before the calls: they cost as much again.
             if fleet.healthy(node, now, cls) and (now >= node.cold_until
                                                   or not fleet.overspent(node, now, self.rate)):
-                if (node.in_flight < BOUND_MIN or not fleet.bounded(node)) and not self._held_back(node):
+                if ((node.in_flight < BOUND_MIN or not fleet.bounded(node)) and not self._held_back(node)
+                        and not (fleet.many and fleet.crowded(node, now, self.rng.random()))):
                     return node
                 fallback = fallback or node
         if fallback is not None:
@@ -905,7 +947,7 @@
         pending.out[attempts] = node, now
         pending.attempts = attempts + 1
         pending.tried = *pending.tried, node
-        self.fleet.sent(node, now, pending.cls.name)
+        self.fleet.sent(node, now, pending.cls.name, (pending.request.id, attempts))
         self.actions.append(Send(pending.request.id, node.id, timeout))
 
     def _outcome(self, now: float, outcome: Outcome) -> None:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -9,7 +9,17 @@
 import pytest
 
 from notchflow import Balancer
-from notchflow.interface import ListKind, Member, Membership, SetTimer, State, Timer
+from notchflow.interface import (
+    ListKind,
+    Member,
+    Membership,
+    Outcome,
+    Send,
+    SetTimer,
+    State,
+    Status,
+    Timer,
+)
 from notchflow.logic import COMPARISONS, LOAD_SPREAD, MASK, PLACES, FastTopK, Fleet, Threshold, mixed
 from tests.helpers import ask, key, make_balancer, make_fleet, make_settings, ok, sends
 
@@ -290,3 +300,42 @@
     assert first == order, "each has one in turn, the home first"
     reads = [sends(balancer.handle(1, ask(10 + i, 1, "read", k)))[0].node for i in range(2)]
     assert reads == order[:1] * 2, "a read still goes to its home"
+
+
+def jammed_share(balancers: int, latency: float) -> float:
+    """The share of a key's requests that still go home, where home answers so late, the others in 10 ms."""
+    balancer = make_balancer(12, balancers=balancers)
+    k, at_home = key(3), 0
+    home = balancer.fleet.order(k)[0].id
+    for i in range(200):
+        now = 300.0 * i  # a trickle: never more than one in flight
+        send, = sends(balancer.handle(now, ask(i, now, k=k)))
+        at_home += send.node == home
+        balancer.handle(now, ok(send, latency=latency if send.node == home else 10.0))
+        balancer.handle(now, ask(1000 + i, now, k=key(50 + i)))
+        balancer.handle(now, ok(Send(1000 + i, next(iter(balancer.pending[1000 + i].out.values()))[0].id)))
+    return at_home / 200
+
+
+def test_the_load_bound_holds_for_what_many_balancers_have_in_flight_together() -> None:
+    """Guards against a home that all balancers load beyond its due, none with more than one request there."""
+    assert jammed_share(40, 15.0) == 1.0, "a little over its due is within the bound"
+    assert 0.05 < jammed_share(40, 100.0) < 0.6
+    assert jammed_share(300, 100.0) < 0.6
+    assert jammed_share(3, 100.0) == 1.0, "few balancers see it in their own counts"
+
+
+def test_a_request_that_waits_long_shows_a_crowd_before_it_is_answered() -> None:
+    """Guards against learning of a jam only when its first requests run out of time."""
+    balancer = make_balancer(12, balancers=40)
+    fleet, k = balancer.fleet, key(3)
+    for i in range(10):
+        send, = sends(balancer.handle(0, ask(i, 0, k=key(60 + i))))
+        balancer.handle(10, ok(send))
+    send, = sends(balancer.handle(20, ask(20, 20, k=k)))
+    home = fleet.nodes[send.node]
+    assert not fleet.crowded(home, 30, 0.99) and fleet.crowded(home, 120, 0.99)
+    assert fleet.slowness(home, 120) > 5
+    balancer.handle(125, Outcome(20, 0, send.node, Status.TIMEOUT, 105, True))
+    assert not home.out and fleet.crowded(home, 130, 0.99)
+    assert not fleet.crowded(home, 30_000, 0.99), "who is left alone is tried again"
