Policy: one package by concern instead of one module; decisions as before

Need: logic.py had grown to 1,022 lines, with two classes of 300 and 390; what comes next (kinds, shares) needs a place of its own. Every constant and every draw is as it was. The purity test asks for the same names, and for each policy file by its name.

--- a/notchflow/__init__.py
+++ b/notchflow/__init__.py
@@ -1,5 +1,5 @@
 """notchflow: routing decisions for a balancer in front of a fleet of cache servers."""
 
-from notchflow.logic import Balancer
+from notchflow.policy.balancer import Balancer
 
 __all__ = ["Balancer"]
--- a/notchflow/drill.py
+++ b/notchflow/drill.py
@@ -10,7 +10,7 @@
 
 from notchflow import wire
 from notchflow.interface import Event, Member
-from notchflow.logic import Balancer
+from notchflow.policy.balancer import Balancer
 
 
 class Drill:
--- a/notchflow/net/__init__.py
+++ b/notchflow/net/__init__.py
@@ -1,1 +1,1 @@
-"""The real proxy: sockets, framing and budgets around the decisions of notchflow.logic."""
+"""The real proxy: sockets, framing and budgets around the decisions of notchflow.policy."""
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -37,7 +37,6 @@
     Timer,
     Watch,
 )
-from notchflow.logic import Balancer
 from notchflow.net.clock import Clock
 from notchflow.net.config import Config
 from notchflow.net.console import Console, callers_of
@@ -51,6 +50,7 @@
 from notchflow.operations.duty import Duty, Phase
 from notchflow.operations.figures import Figures
 from notchflow.operations.handover import Shares
+from notchflow.policy.balancer import Balancer
 
 log = logging.getLogger(__name__)
 
--- a/tests/operations/test_handover.py
+++ b/tests/operations/test_handover.py
@@ -71,7 +71,7 @@
     new = make_balancer(now=50_000)
     new.learn(50_000, told)
     assert new.fleet.class_latency == old.fleet.class_latency
-    assert new.topk.counters == old.topk.counters and new.topk.held == old.topk.held
+    assert new.hot.topk.counters == old.hot.topk.counters and new.hot.topk.held == old.hot.topk.held
     assert new.fleet.order("0a")[0].id == old.fleet.order("0a")[0].id
     out = {n.id: n.fails for n in old.fleet.nodes.values() if n.fails}
     assert out and {n.id: n.fails for n in new.fleet.nodes.values() if n.fails} == out
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -20,7 +20,10 @@
     Status,
     Timer,
 )
-from notchflow.logic import COMPARISONS, LOAD_SPREAD, MASK, PLACES, FastTopK, Fleet, Threshold, mixed
+from notchflow.policy.fleet import Fleet
+from notchflow.policy.hot_keys import COMPARISONS, LOAD_SPREAD, FastTopK, Threshold
+from notchflow.policy.nodes import mixed
+from notchflow.policy.order import MASK, PLACES
 from tests.helpers import ask, key, make_balancer, make_fleet, make_settings, ok, sends
 
 
@@ -175,17 +178,17 @@
     """Guards against a hot key that no instance's own load betrays."""
     balancer = make_balancer(20)
     seen = drive(balancer, random.Random(4), 0, 400, 0.02)
-    assert len(seen) == 1 and not balancer.factoring
+    assert len(seen) == 1 and not balancer.hot.factoring
     seen = drive(balancer, random.Random(5), 2000, 2000, 0.3, first_id=400)
-    assert balancer.factoring and len(seen) >= 5
+    assert balancer.hot.factoring and len(seen) >= 5
     seen = drive(balancer, random.Random(6), 20000, 6000, 0.0, first_id=4000)
-    assert not balancer.factoring and balancer.topk.historical == {}
+    assert not balancer.hot.factoring and balancer.hot.topk.historical == {}
 
 
 def test_ordinary_keys_stay_at_home_while_factoring() -> None:
     balancer = make_balancer(20)
     drive(balancer, random.Random(5), 0, 2000, 0.3)
-    assert balancer.factoring
+    assert balancer.hot.factoring
     for i in range(50):
         k = key(10**10 + i)
         send = sends(balancer.handle(20000, ask(10**6 + i, 20000, k=k)))[0]
@@ -202,22 +205,22 @@
     for step in range(8):
         seen = drive(balancer, random.Random(step), 250 * step, 50, 0.4, first_id=1000 * step)
         widths.append(len(seen))
-        if balancer.factoring:
+        if balancer.hot.factoring:
             assert not {m.node for m in cold} & set(seen) or widths[-1] <= 2
     assert widths[0] == 1
-    spread = balancer.spread["00000000000000aa"][0]
+    spread = balancer.hot.spread["00000000000000aa"][0]
     assert 1 < spread <= 12
 
 
 def test_high_own_load_spreads_every_hot_key() -> None:
     balancer = make_balancer(4)
     drive(balancer, random.Random(5), 0, 1500, 0.1, gap=5)
-    assert not balancer.factoring
+    assert not balancer.hot.factoring
     for i in range(60):
         balancer.handle(7500, ask(10**6 + i, 7500))
     for i in range(4):
         balancer.handle(7750 + 250 * i, Timer("sample"))
-    assert balancer.factoring and balancer.spread["00000000000000aa"][0] >= LOAD_SPREAD
+    assert balancer.hot.factoring and balancer.hot.spread["00000000000000aa"][0] >= LOAD_SPREAD
 
 
 def test_a_server_far_over_its_part_is_skipped() -> None:
@@ -242,7 +245,7 @@
             number += 1
             send = sends(balancer.handle(now, ask(number, now)))[0]
             balancer.handle(now + 1, ok(send, latency=10.0 if send.node % 2 else 30.0))
-    assert balancer.fleet.kind_weight["x"] > 2 * balancer.fleet.kind_weight["y"]
+    assert balancer.fleet.kinds.weights["x"] > 2 * balancer.fleet.kinds.weights["y"]
 
 
 def test_second_copies_cost_one_timer_however_late_it_comes() -> None:
@@ -284,11 +287,11 @@
             x = ((x ^ (x >> 32)) * 0xD6E8FEB86659FD93) & MASK
             scored.append((-math.log(((x >> 11) + 1) * 2.0**-53) / node.weight, node.id))
         order = [node for _, node in sorted(scored)]
-        assert [n.id for n in fleet.ranked(name, count)] == order
-        assert [n.id for n in fleet.ranked(name, PLACES)] == order[:PLACES]
-    if fleet.cuts:  # where too few stay under the cut, all are scored
-        fleet.cuts = [MASK] * count
-        assert [n.id for n in fleet.ranked(name, PLACES)] == order[:PLACES]
+        assert [n.id for n in fleet.ordered.ranked(name, count)] == order
+        assert [n.id for n in fleet.ordered.ranked(name, PLACES)] == order[:PLACES]
+    if fleet.ordered.cuts:  # where too few stay under the cut, all are scored
+        fleet.ordered.cuts = [MASK] * count
+        assert [n.id for n in fleet.ordered.ranked(name, PLACES)] == order[:PLACES]
 
 
 def test_a_write_goes_to_the_least_busy_of_its_keys_places() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -30,7 +30,8 @@
     Timer,
     Watch,
 )
-from notchflow.logic import TOLERANCE
+from notchflow.policy.health import healthy
+from notchflow.policy.nodes import TOLERANCE
 from tests.helpers import CLASSES, RULES, ask, key, make_balancer, make_fleet, make_settings, ok, sends
 
 
@@ -323,7 +324,7 @@
         (again,) = sends(balancer.handle(i, Outcome(i, 0, send.node, Status.FULL, 1)))
         assert again.node != send.node
         balancer.handle(i, ok(again, 1))
-    assert balancer.retries >= 1
+    assert balancer.budgets.retries >= 1
 
 
 def test_in_a_jam_a_read_that_may_have_run_is_not_tried_elsewhere() -> None:
@@ -346,14 +347,14 @@
     number, moves = 0, 0
     for step in range(400):
         now = step * 250.0
-        before = dict(balancer.fleet.kind_weight)
+        before = dict(balancer.fleet.kinds.weights)
         balancer.handle(now, Timer("sample"))
-        moves += before != balancer.fleet.kind_weight
+        moves += before != balancer.fleet.kinds.weights
         for _ in range(3):
             number += 1
             for send in sends(balancer.handle(now, ask(number, now))):
                 balancer.handle(now, ok(send, latency=rng.expovariate(1 / 50)))
-    assert all(0.6 < w < 1.6 for w in balancer.fleet.kind_weight.values())
+    assert all(0.6 < w < 1.6 for w in balancer.fleet.kinds.weights.values())
     assert moves <= 3
 
 
@@ -422,7 +423,7 @@
                 status = Status.FULL if full else Status.OK
                 latency = 1 if full else 10
                 balancer.handle(step * 250.0 + 1, Outcome(number, 0, send.node, status, latency, not full))
-    assert balancer.fleet.kind_weight["y"] < balancer.fleet.kind_weight["x"]
+    assert balancer.fleet.kinds.weights["y"] < balancer.fleet.kinds.weights["x"]
 
 
 def test_a_kind_whose_attempts_time_out_does_not_look_fast() -> None:
@@ -438,16 +439,16 @@
             late = send.node % 2 == 1 and i % 3 > 0
             status = Status.TIMEOUT if late else Status.OK
             balancer.handle(now, Outcome(i, 0, send.node, status, 900 if late else 10, True))
-    assert balancer.fleet.kind_weight["y"] < balancer.fleet.kind_weight["x"]
+    assert balancer.fleet.kinds.weights["y"] < balancer.fleet.kinds.weights["x"]
 
 
 def test_shed_requests_earn_no_retry_budget() -> None:
     """Guards against a jam that pays for its own further attempts."""
     balancer = make_balancer(12)
-    balancer.retries, balancer.throttle.asked = 0.0, 1e9
+    balancer.budgets.retries, balancer.throttle.asked = 0.0, 1e9
     for i in range(100):
         assert sends(balancer.handle(0, ask(i, 0))) == []
-    assert balancer.retries == 0.0
+    assert balancer.budgets.retries == 0.0
 
 
 def test_one_server_in_trouble_loses_requests_to_their_next_place_unless_all_are() -> None:
@@ -512,7 +513,7 @@
     node = balancer.fleet.ready[0]
     node.fails, node.ejected_until = 5, 1e9
     balancer.handle(2000, Membership(ListKind.DELTA, (Member(node.id, ready_at_ms=1900.0),)))
-    assert balancer.fleet.healthy(node, 2000)
+    assert healthy(node, 2000)
     assert balancer.fleet.warmth(node, 2000) < 0.3
 
 
@@ -522,7 +523,7 @@
     for i in range(200):
         assert balancer.handle(i, ask(i, i, "unheard-of", k=key(1))) == [Refuse(i)]
     balancer.handle(250, Timer("sample"))
-    assert balancer.rate == 0 and not balancer.topk.fifo and balancer.throttle.asked == 0
+    assert balancer.rate == 0 and not balancer.hot.topk.fifo and balancer.throttle.asked == 0
 
 
 def test_servers_that_are_gone_are_forgotten_once_nothing_is_out_there() -> None:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -5,8 +5,8 @@
 import pytest
 
 from notchflow.interface import Retune
-from notchflow.logic import Fleet
-from notchflow.shares import many
+from notchflow.policy.fleet import Fleet
+from notchflow.policy.shares import many
 from tests.helpers import make_balancer, make_settings
 
 
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -44,7 +44,7 @@
     Timer,
     Watch,
 )
-from notchflow.logic import COMPARISONS, FastTopK
+from notchflow.policy.hot_keys import COMPARISONS, FastTopK
 from tests.helpers import key
 
 RECORD = Path(__file__).parent / "trace.json"
@@ -112,7 +112,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.rng = random.Random(seed)
         self.balancer = Balancer(settings, seed=seed, now=0.0)
-        self.balancer.topk = DrawByDraw(self.balancer.rng)
+        self.balancer.hot.topk = DrawByDraw(self.balancer.rng)
         self.settings = settings
         self.heap: list[tuple[float, int, Any]] = []
         self.count = self.numbers = 0
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -221,14 +221,16 @@
 def test_the_policy_is_pure_and_within_its_limits() -> None:
     policy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["policy"]
     sources = [(ROOT / name).read_text() for name in policy]
-    assert "notchflow/logic.py" in policy
+    assert policy == [f"notchflow/policy/{n}.py" for n in (
+        "balancer placement hot_keys fleet order kinds health nodes pending budgets handover shares").split()]
     drawn: set[str] = set()
     for source in sources:
         tree = ast.parse(source)
         imported = {n.module for n in ast.walk(tree) if isinstance(n, ast.ImportFrom)}
         imported |= {a.name for n in ast.walk(tree) if isinstance(n, ast.Import) for a in n.names}
         assert imported <= {"__future__", "hashlib", "heapq", "math", "random", "collections",
-                            "collections.abc", "typing", "notchflow.interface", "notchflow.shares"}
+                            "collections.abc", "typing", "notchflow.interface",
+                            *[name[:-3].replace("/", ".") for name in policy]}
         names = {n.id for n in ast.walk(tree) if isinstance(n, ast.Name)}
         assert not names & {"open", "print", "input", "hash", "id", "globals", "eval", "exec"}
         drawn |= {n.attr for n in ast.walk(tree) if isinstance(n, ast.Attribute)
