Store: an append-only log with index, hints, compaction and recovery, from every crash

Need: what became of payments and keyed writes must outlive the process (issue: a store that survives). Change: notchflow/store holds framing (batches and records under CRC32C), an index of 40 bytes a slot in 64 shards, hint files, a manifest that is replaced as a whole, a pure plan of compactions and the engine over a small interface of files.

--- /dev/null
+++ b/notchflow/store/hints.py
@@ -0,0 +1,102 @@
+"""Hint files: where the records of a sealed segment lie, so that a start need not read the segment.
+
+Only a help: one that is missing, short or spoilt is left aside, and the segment is read instead.
+"""
+
+from __future__ import annotations
+
+import struct
+from array import array
+from typing import Final
+
+import numpy as np
+
+from notchflow.store.files import Files
+from notchflow.store.frames import Kind, Placed, crc
+from notchflow.store.index import LENGTH, Lines, digest, pack
+from notchflow.store.manifest import hint_name
+
+MAGIC: Final = b"NFH1"
+_HEAD: Final = struct.Struct("<4sIQQQQ")  # magic, checksum, segment, its length, lines, bytes of deletes
+COLUMNS: Final = 5
+
+
+class Columns:
+    """The lines of one segment, as they come."""
+
+    def __init__(self) -> None:
+        self.words = tuple(array("Q") for _ in range(COLUMNS))
+        self.graves = 0  # bytes of deletes
+
+    def add(self, segment: int, placed: Placed) -> None:
+        """A delete's line has the length 0: it hides what is older, and is no entry itself."""
+        record = placed.record
+        low, high = digest(record.key)
+        place, meta = pack(segment, placed.offset, placed.length, record.expires)
+        if record.kind is Kind.DELETE:
+            meta -= placed.length
+            self.graves += placed.length
+        for column, word in zip(self.words, (low, high, record.number, place, meta), strict=True):
+            column.append(word)
+
+    @classmethod
+    def of(cls, lines: Lines, graves: int) -> Columns:
+        """Columns that go on from these lines."""
+        columns = cls()
+        for column, words in zip(columns.words, lines, strict=True):
+            column.frombytes(words.tobytes())
+        columns.graves = graves
+        return columns
+
+    def deleted(self) -> set[tuple[int, int]]:
+        """The keys of deletes, as digests."""
+        low, high, _, _, meta = self.words
+        return {(a, b) for a, b, word in zip(low, high, meta, strict=True) if not word & LENGTH}
+
+    def lines(self) -> Lines:
+        return Lines(*(np.frombuffer(column, dtype=np.uint64) if column else np.zeros(0, dtype=np.uint64)
+                       for column in self.words))
+
+
+def encode(segment: int, length: int, columns: Columns) -> bytes:
+    body = b"".join(column.tobytes() for column in columns.words)
+    rest = struct.pack("<QQQQ", segment, length, len(columns.words[0]), columns.graves) + body
+    return MAGIC + struct.pack("<I", crc(rest)) + rest
+
+
+def decode(data: bytes, segment: int, length: int) -> tuple[Lines, int] | None:
+    """The lines and the bytes of deletes; None where this is not the hint of that segment at that length."""
+    if len(data) < _HEAD.size:
+        return None
+    magic, told, of, size, count, graves = _HEAD.unpack_from(data)
+    if (magic != MAGIC or of != segment or size != length or len(data) != _HEAD.size + 8 * COLUMNS * count
+            or crc(data[8:]) != told):
+        return None
+    words = np.frombuffer(data, dtype=np.uint64, offset=_HEAD.size).reshape(COLUMNS, count)
+    return Lines(*words), int(graves)
+
+
+def load(files: Files, segment: int, length: int) -> tuple[Lines, int] | None:
+    try:
+        file = files.open(hint_name(segment))
+    except FileNotFoundError:
+        return None
+    try:
+        return decode(file.read(0, file.size()), segment, length)
+    finally:
+        file.close()
+
+
+def save(files: Files, segment: int, length: int, columns: Columns) -> None:
+    """Leaves a whole hint or none that is taken for one; a disk that is full costs a slower start alone."""
+    name = hint_name(segment)
+    try:
+        if name in files.names():
+            files.remove(name)
+        file = files.create(name)
+        try:
+            file.append(encode(segment, length, columns))
+        finally:
+            file.close()
+    except OSError:
+        return
