Memory of effects: what a request under an idempotency key may do, and its keeper

Need: a repeat of a payment must not run again, also after a crash. Routes may require a key. Not yet switched on in the service.

--- a/benchmarks/tenancy.py
+++ b/benchmarks/tenancy.py
@@ -193,7 +193,7 @@
 
     def request(self, call: Call, cls: str, budget_ms: float | None, key: str | None = None,
                 tenant: str | None = None, hint_ms: float | None = None, size: float | None = None,
-                retry: bool = False, write: bool = False) -> None:
+                retry: bool = False, write: bool = False, earlier: float | None = None) -> None:
         call.settle(200)
 
 
--- /dev/null
+++ b/notchflow/effects/__init__.py
@@ -0,0 +1,1 @@
+"""What became of requests that must not run twice, also over a crash."""
--- a/notchflow/hosting/file.py
+++ b/notchflow/hosting/file.py
@@ -13,6 +13,7 @@
 from notchflow.hosting.schema import (
     AdminModel,
     ClassModel,
+    EffectsModel,
     FleetModel,
     ListenerModel,
     ServiceModel,
@@ -24,7 +25,7 @@
 from notchflow.tenancy.routes import faults as route_faults
 
 _T = TypeVar("_T")
-SECTIONS: Final = ("service", "listeners", "admin", "fleet", "classes", "tenants")
+SECTIONS: Final = ("service", "listeners", "admin", "fleet", "classes", "tenants", "effects")
 VALUE_SHOWN: Final = 60
 
 
@@ -58,6 +59,12 @@
     fleet: FleetModel
     classes: tuple[ClassModel, ...]
     tenants: TenantsModel
+    effects: EffectsModel | None = None
+
+    @property
+    def effects_folder(self) -> Path | None:
+        """The store of effects, below the state folder; none where effects are not remembered."""
+        return self.state / self.effects.folder if self.effects is not None else None
 
     @property
     def state(self) -> Path:
@@ -110,11 +117,13 @@
     fleet = _section(data, "fleet", FleetModel, None, faults)
     classes = _section(data, "classes", tuple[ClassModel, ...], None, faults)
     tenants = _section(data, "tenants", TenantsModel, {}, faults)
+    effects = _section(data, "effects", EffectsModel, None, faults) if "effects" in data else None
     faults += _across(service, listeners, admin, fleet, classes, tenants)
+    faults += _effects_faults(effects, classes)
     if faults or None in (service, listeners, admin, fleet, classes, tenants):
         raise FileFaults(path, faults)
     assert service and listeners and admin and fleet and classes and tenants
-    return OperatorFile(path, service, listeners, admin, fleet, classes, tenants)
+    return OperatorFile(path, service, listeners, admin, fleet, classes, tenants, effects)
 
 
 def _section(data: Mapping[str, Any], name: str, shape: type[_T], default: Any,
@@ -192,6 +201,14 @@
     return faults
 
 
+def _effects_faults(effects: EffectsModel | None, classes: tuple[ClassModel, ...] | None) -> list[Fault]:
+    if effects is None:
+        return []
+    short = [c for c in classes or () if c.effect == "keyed" and c.window_ms >= effects.keyed_s * 1e3]
+    return [Fault("effects.keyed_s", f"is {effects.keyed_s:g}; it must outlast the window of class "
+                  f"{c.name!r}, {c.window_ms:g} ms") for c in short]
+
+
 def _fleet_faults(fleet: FleetModel) -> list[Fault]:
     faults: list[Fault] = []
     if (fleet.discovery is None) == (not fleet.boxes):
--- a/notchflow/hosting/schema.py
+++ b/notchflow/hosting/schema.py
@@ -52,14 +52,17 @@
     path: Template
     cls: ClassName = Field(alias="class")
     key: list[ParameterName] = Field(default_factory=list, max_length=8)
+    idempotency: Literal["optional", "required"] = Field(
+        "optional", description="whether an Idempotency-Key must be sent; keyed classes need one anyway")
 
     def core(self) -> Route:
-        return Route(self.method, self.path, self.cls, tuple(self.key))
+        return Route(self.method, self.path, self.cls, tuple(self.key), self.idempotency == "required")
 
     @classmethod
     def of(cls, route: Route) -> RouteModel:
         return cls.model_validate({"method": route.method, "path": route.path, "class": route.cls,
-                                   "key": list(route.key)})
+                                   "key": list(route.key),
+                                   "idempotency": "required" if route.key_required else "optional"})
 
 
 EFFECTS = {"safe": Effect.SAFE, "keyed": Effect.KEYED, "unsafe": Effect.UNSAFE}
@@ -92,6 +95,16 @@
     console: Address | None = None
 
 
+class EffectsModel(Strict):
+    """The memory of effects; without this section there is none."""
+
+    folder: str = Field("effects", min_length=1)
+    unsafe_s: float = Field(86_400.0, gt=0, le=31_536_000)
+    keyed_s: float = Field(600.0, gt=0, le=31_536_000)
+    segment_mb: float = Field(16.0, ge=0.25, le=1024)
+    queue_mb: float = Field(8.0, ge=0.0625, le=256)
+
+
 class ListenerModel(Strict):
     """An address where clients connect."""
 
--- a/notchflow/net/downstream.py
+++ b/notchflow/net/downstream.py
@@ -511,6 +511,10 @@
         else:
             self._write(call, status, [], [], 0)
 
+    def answer(self, call: Call, reply: Reply) -> None:
+        """An answer of the door's, that it needed time for."""
+        self._reply(call, reply)
+
     def _reply(self, call: Call, reply: Reply) -> None:
         self._write(call, reply.status, list(reply.headers), [reply.body], len(reply.body))
 
--- a/notchflow/net/exchange.py
+++ b/notchflow/net/exchange.py
@@ -21,6 +21,7 @@
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
            401: b"Unauthorized", 403: b"Forbidden",
            408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
+           422: b"Unprocessable Content",
            429: b"Too Many Requests", 431: b"Request Header Fields Too Large", 501: b"Not Implemented",
            502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
 
@@ -51,6 +52,8 @@
 
     def fail(self, call: Call, status: int) -> None: ...
 
+    def answer(self, call: Call, reply: Reply) -> None: ...
+
     def begin_stream(self, call: Call, answer: Answer) -> None: ...
 
     def stream(self, data: bytes) -> None: ...
@@ -96,8 +99,9 @@
     def charge(self, size: int) -> bool:
         """Counts bytes held; false where they are over the tenant's limit."""
 
-    def done(self, status: int) -> None:
-        """The request is over: answered with this status, or 0 where its client left. Called once."""
+    def done(self, status: int, ran: bool) -> None:
+        """The request is over: answered with this status, or 0 where its client left. Called once. `ran`: an
+        attempt may have run, or may yet."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,7 +124,7 @@
 
     __slots__ = ("client", "ledger", "method", "url", "fields", "passed", "body", "size", "charged",
                  "spilled", "keep", "chunks_allowed", "arrived_at", "open", "fault", "ticket", "reply",
-                 "counts", "flowing", "whole", "spent", "chunked", "dropped")
+                 "counts", "flowing", "whole", "spent", "chunked", "dropped", "ran")
 
     def __init__(self, client: Asker, ledger: Ledger) -> None:
         self.client, self.ledger = client, ledger
@@ -143,6 +147,7 @@
         self.spent = False  # and the first ones are not held any more
         self.dropped = False  # it is answered already: the rest of it is read and dropped
         self.chunked = False  # it goes on in chunks, as its length is not known
+        self.ran = False  # an attempt may have run; kept where there is a ticket
         self.reply: Reply | None = None  # settled at the end of the head: the body is read and dropped
 
     def release(self) -> None:
@@ -156,13 +161,13 @@
         """The request is over for its client. What it was to the host is let go of, as that refers back: the
         collector, which stops the loop, must find nothing to do."""
         self.release()
-        self.open = None
+        item, self.open = self.open, None
         counts, self.counts = self.counts, None
         if counts is not None:
             counts.end(status)
         ticket, self.ticket = self.ticket, None
         if ticket is not None:
-            ticket.done(status)
+            ticket.done(status, self.ran or (item is not None and bool(item.out)))
 
 
 class Open:
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -489,8 +489,9 @@
     # -- the life of a request
     def request(self, call: Call, cls: str, budget_ms: float | None, key: str | None = None,
                 tenant: str | None = None, hint_ms: float | None = None, size: float | None = None,
-                retry: bool = False, write: bool = False) -> None:
-        """Takes a request in hand: from here on it is owed its one final answer."""
+                retry: bool = False, write: bool = False, earlier: float | None = None) -> None:
+        """Takes a request in hand: from here on it is owed its one final answer. `earlier`: so many
+        milliseconds ago a request with the same effect may first have run."""
         if budget_ms is None:
             budget_ms = self.classes.get(cls, self.longest_ms)
         self.numbers = number = self.numbers + 1
@@ -508,7 +509,8 @@
             item.budget_ms = budget_ms
         self.open[number] = item
         item.timer = self.at(deadline, self._deadline, number)
-        self.tell(Request(number, cls, deadline, key, tenant, hint_ms, size, retry, write, arriving))
+        self.tell(Request(number, cls, deadline, key, tenant, hint_ms, size, retry, write, arriving,
+                          None if earlier is None else self.clock.now() - earlier))
 
     # -- bodies that flow
     def body_came(self, item: Open, pieces: Sequence[bytes]) -> None:
@@ -584,6 +586,8 @@
         item = attempt.open
         item.out.pop(attempt.number, None)
         item.last = status
+        if item.call.ticket is not None and not status.never_ran:
+            item.call.ran = True
         if not item.done:
             call = item.call
             if attempt.started:
--- a/notchflow/state/database.py
+++ b/notchflow/state/database.py
@@ -245,7 +245,8 @@
 def _tenant(row: tuple[Any, ...]) -> Tenant:
     identity, name, state, limits, routes, version, created, changed = row
     return Tenant(identity, name, TenantState(state), Limits(**json.loads(limits)) if limits else None,
-                  tuple(Route(r["method"], r["path"], r["cls"], tuple(r["key"])) for r in json.loads(routes))
+                  tuple(Route(r["method"], r["path"], r["cls"], tuple(r["key"]), r.get("key_required", False))
+                        for r in json.loads(routes))
                   if routes is not None else None, version, created, changed)
 
 
--- a/notchflow/tenancy/door.py
+++ b/notchflow/tenancy/door.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from functools import partial
 from typing import Final, Protocol
 
 from notchflow.interface import Effect
@@ -45,7 +46,24 @@
 
     def request(self, call: Call, cls: str, budget_ms: float | None, key: str | None = None,
                 tenant: str | None = None, hint_ms: float | None = None, size: float | None = None,
-                retry: bool = False, write: bool = False) -> None: ...
+                retry: bool = False, write: bool = False, earlier: float | None = None) -> None: ...
+
+
+class Guarded(Protocol):
+    """A request whose effects are remembered, as far as its ticket needs it."""
+
+    def begin(self, call: Call, cls: str) -> Reply | None:
+        """Hands the request on, now or later, or says why not."""
+
+    def ended(self, status: int, ran: bool) -> None: ...
+
+
+class Remembers(Protocol):
+    """The memory of effects, as far as the door needs it."""
+
+    def guard(self, call: Call, cls: str, key: bytes, busy: Reply,
+              go: Callable[[float | None], None]) -> Guarded | None:
+        """For a request with an idempotency key; none where the class needs none. `go` hands it on."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,13 +80,14 @@
 class Ticket:
     """One request of a tenant's, from the end of its head to its answer."""
 
-    __slots__ = ("door", "entry", "match", "target", "since", "size", "over")
+    __slots__ = ("door", "entry", "match", "target", "since", "size", "over", "guard")
 
     def __init__(self, door: TenantDoor, entry: Entry, match: Match, target: Target) -> None:
         self.door, self.entry, self.match, self.target = door, entry, match, target
         self.since = 0.0  # when it was admitted; 0: it was not
         self.size = 0  # bytes charged to the tenant
         self.over = False  # its body is more than the tenant may hold
+        self.guard: Guarded | None = None
 
     def charge(self, size: int) -> bool:
         if not self.door.directory.charge(self.entry, size):
@@ -77,7 +96,10 @@
         self.size += size
         return True
 
-    def done(self, status: int) -> None:
+    def done(self, status: int, ran: bool) -> None:
+        guard, self.guard = self.guard, None
+        if guard is not None:
+            guard.ended(status, ran)
         self.entry.usage.bytes -= self.size
         if self.since:
             self.door.directory.over(self.entry, max(time.monotonic() - self.since, 0.0), status)
@@ -90,6 +112,7 @@
                  run: bytes, wall: Callable[[], float] = time.time) -> None:
         self.directory, self.face, self.pressure, self.wall = directory, face, pressure, wall
         self.host: Receiver | None = None
+        self.memory: Remembers | None = None
         self.run, self.number = run, 0  # ids: 8 digits of this run of the process, 8 of the request
         self.suspended = reply(403, "tenant-suspended", "The operator has suspended this tenant.")
         self.retiring = reply(403, "tenant-retiring", "What is in hand is answered; nothing new is taken.")
@@ -149,8 +172,8 @@
         if key is not None and IDEMPOTENCY.fullmatch(key) is None:
             return reply(400, "bad-request", "Idempotency-Key has 1 to 200 visible ASCII characters.")
         keyed = self.face.effects is not None and self.face.effects.get(match.route.cls) is Effect.KEYED
-        if keyed and key is None:  # without it a box could not drop a repeat
-            return reply(400, "idempotency-key-required", f"Class {match.route.cls} is repeated by its key.")
+        if (keyed or match.route.key_required) and key is None:  # a repeat could not be known for one
+            return reply(400, "idempotency-key-required", f"Class {match.route.cls} is known by its key.")
         return Ticket(self, entry, match, target)
 
     def _too_large(self) -> Reply:
@@ -174,11 +197,23 @@
         if refusal is not None:
             return _refusal(refusal)
         ticket.since = time.monotonic()
-        self._rewrite(call, ticket)
-        host.request(call, ticket.match.route.cls, None, key=entry.space + ticket.match.key,
-                     tenant=entry.tenant.id, write=call.method != b"GET")
+        key, cls = call.fields.get(b"idempotency-key"), ticket.match.route.cls
+        if self.memory is not None and key is not None:
+            go = partial(self._hand_on, call, ticket)
+            ticket.guard = self.memory.guard(call, cls, b"%b/%b" % (entry.caller, key), self.busy, go)
+        if ticket.guard is not None:
+            return ticket.guard.begin(call, cls)
+        self._hand_on(call, ticket, None)
         return None
 
+    def _hand_on(self, call: Call, ticket: Ticket, earlier: float | None) -> None:
+        """`earlier`: so many milliseconds ago a request under the same key may first have run."""
+        assert self.host is not None
+        entry = ticket.entry
+        self._rewrite(call, ticket)
+        self.host.request(call, ticket.match.route.cls, None, key=entry.space + ticket.match.key,
+                          tenant=entry.tenant.id, write=call.method != b"GET", earlier=earlier)
+
     def _rewrite(self, call: Call, ticket: Ticket) -> None:
         self.number += 1
         entry, target = ticket.entry, ticket.target
--- a/notchflow/tenancy/model.py
+++ b/notchflow/tenancy/model.py
@@ -67,6 +67,7 @@
     path: str
     cls: str
     key: tuple[str, ...] = ()
+    key_required: bool = False  # an Idempotency-Key; keyed classes need one in any case
 
 
 @dataclass(frozen=True, slots=True)
