Effects in the service: operator file, console, API, store tools; one digest an append

Change: [effects] in the operator file, keys required by route, figures on the console and in /v1/proxy, notchflow store check|dump|compact| repair; the store reckons each key's digest once and takes hints from the index. A refused payment may be sent again at once.

--- a/notchflow/admin/models.py
+++ b/notchflow/admin/models.py
@@ -160,6 +160,24 @@
     items: list[BoxView]
 
 
+class EffectsView(BaseModel):
+    """The memory of what became of requests with an Idempotency-Key, since the start of this process."""
+
+    store: Literal["open", "full", "broken", "closed"]
+    in_hand: int = Field(description="keys whose request is not over")
+    keys: int = Field(description="keys that are remembered")
+    begun: int = Field(description="requests that were sent on")
+    sent_again: int = Field(description="repeats of a keyed class, sent on within the window")
+    told: int = Field(description="repeats that were answered from what became of the first")
+    denied: dict[str, int] = Field(description="repeats that were turned away, by reason")
+    refused: int = Field(description="requests refused as they could not be remembered")
+    commits: int
+    changes: int
+    turned_away: int = Field(description="changes for which the disk was too slow")
+    waiting_bytes: int
+    slowest_commit_ms: float
+
+
 class ProxyView(BaseModel):
     """The running proxy."""
 
@@ -169,6 +187,7 @@
     clients: int
     descriptors: int
     bytes_held: int
+    effects: EffectsView | None = Field(None, description="the memory of effects; null where there is none")
 
 
 class EventView(BaseModel):
--- a/notchflow/cli.py
+++ b/notchflow/cli.py
@@ -27,11 +27,16 @@
     demo.add_argument("--plain", action="store_true", help="lines instead of a live table")
     admin = commands.add_parser("admin", help="call the administration API", add_help=False)
     admin.add_argument("rest", nargs=argparse.REMAINDER)
+    store = commands.add_parser("store", help="check, dump, compact or repair a store that nobody has open")
+    store.add_argument("action", choices=("check", "dump", "compact", "repair"))
+    store.add_argument("folder", type=Path, help="the store's folder, or a copy of it")
+    store.add_argument("--all", action="store_true", help="dump: deletes and former records as well")
     return top
 
 
 def _extras(command: str) -> str | None:
-    missing = [name for name in ("fastapi", "uvicorn", "httpx", "rich") if find_spec(name) is None]
+    needed = ("fastapi", "uvicorn", "httpx", "rich", "numpy", "google_crc32c")
+    missing = [name for name in needed if find_spec(name) is None]
     if not missing:
         return None
     return (f"notchflow: {command} needs {', '.join(missing)}, which are not installed; "
@@ -83,4 +88,7 @@
         return _serve(options.file)
     if options.command == "check":
         return _check(options.file)
+    if options.command == "store":
+        from notchflow.effects.command import run
+        return run(options)
     return _demo(options.seconds, options.rate, options.plain)
--- a/notchflow/effects/keeper.py
+++ b/notchflow/effects/keeper.py
@@ -16,6 +16,7 @@
     Begin,
     Deny,
     End,
+    Held,
     Look,
     Memory,
     Phase,
@@ -139,8 +140,9 @@
         if verdict.wait:
             self.memory.not_durable(guard.key)
         else:
+            held = self.memory.hand[guard.key]
             self.memory.ended(guard.key, End.NEVER_RAN)
-            self.memory.closed(guard.key)
+            self.memory.closed(guard.key, held)
         return guard.busy
 
     def _earlier(self, verdict: Begin) -> float | None:
@@ -212,17 +214,18 @@
         self._close(guard, end, status)
 
     def _close(self, guard: Guard, end: End, status: int) -> None:
+        held = self.memory.hand[guard.key]
         effect = self.memory.ended(guard.key, end, status)
         change = Change(Kind.DELETE, guard.key) if effect is None else self._put(guard, effect)
         try:
-            self.committer.submit([change], partial(self._closed, guard.key))
+            self.committer.submit([change], partial(self._closed, guard.key, held))
         except StoreError as error:
-            self._closed(guard.key, error)
+            self._closed(guard.key, held, error)
 
-    def _closed(self, key: bytes, problem: StoreError | None) -> None:
+    def _closed(self, key: bytes, held: Held, problem: StoreError | None) -> None:
         if problem is not None:  # the intent stands: it is held to have run, which is safe
             log.warning("the end of a request is not written: %s", problem)
-        self.memory.closed(key)
+        self.memory.closed(key, held)
 
     def figures(self) -> dict[str, Any]:
         """For the console and the administration API."""
--- a/notchflow/effects/memory.py
+++ b/notchflow/effects/memory.py
@@ -144,8 +144,10 @@
             return self._begin(key, fingerprint, rule, now_ms, None)
         if held.fingerprint != fingerprint:
             return self._deny(Why.MISMATCH)
-        if held.phase is not Phase.CLOSING or held.freed or held.effect is None:
+        if held.phase is not Phase.CLOSING or held.effect is None:
             return self._deny(Why.IN_HAND)
+        if held.freed:  # that it is free is on the way to the disk, and comes there before what is written now
+            return self._begin(key, fingerprint, rule, now_ms, None)
         return self._by_record(key, held.effect, rule, now_ms)
 
     def found(self, key: bytes, effect: Effect | None, now_ms: int) -> Verdict:
@@ -205,7 +207,8 @@
 
     # -- a request ends
     def ended(self, key: bytes, end: End, status: int = 0) -> Effect | None:
-        """What to write now: a record, or none where the key is to be free again. Then tell `closed`."""
+        """What to write now: a record, or none where the key is to be free again. Then tell `closed`, with
+        what is in hand under the key."""
         held = self._in(key, Phase.OUT)
         assert held.effect is not None
         held.phase = Phase.CLOSING
@@ -217,10 +220,10 @@
         held.effect = replace(held.effect, fate=fate, status=status if end is End.SERVED else 0)
         return held.effect
 
-    def closed(self, key: bytes) -> None:
-        """What was written is durable, or cannot be: the store has the last word on the key from now on."""
-        held = self.hand.get(key)
-        if held is not None and held.phase is Phase.CLOSING:
+    def closed(self, key: bytes, held: Held) -> None:
+        """What was written of this turn is durable, or cannot be: the store has the last word on the key
+        from now on, unless the key is in hand again."""
+        if self.hand.get(key) is held:
             del self.hand[key]
 
     def _in(self, key: bytes, phase: Phase) -> Held:
--- a/notchflow/hosting/service.py
+++ b/notchflow/hosting/service.py
@@ -21,14 +21,21 @@
 from notchflow.admin.api import Backend, create
 from notchflow.admin.operations import Change, Defaults, Operations
 from notchflow.admin.server import AdminServer, Bounds
+from notchflow.effects.keeper import Keeper
+from notchflow.effects.memory import Rule
 from notchflow.hosting.file import FileFaults, OperatorFile, load
 from notchflow.hosting.schema import EFFECTS, AdminModel
-from notchflow.interface import ListKind, State
+from notchflow.interface import Effect, ListKind, State
 from notchflow.net.collector import settle
 from notchflow.net.config import Config
 from notchflow.net.host import Host
 from notchflow.net.listing import Listing, parse_address
 from notchflow.state.database import Database, StateError
+from notchflow.store.commit import Committer
+from notchflow.store.engine import Engine, Options, StoreError
+from notchflow.store.files import Locked, RealFiles
+from notchflow.store.manifest import ManifestError
+from notchflow.store.tools import store_clock
 from notchflow.tenancy import figures
 from notchflow.tenancy.directory import Directory
 from notchflow.tenancy.door import Face, TenantDoor
@@ -51,6 +58,7 @@
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, door: TenantDoor) -> None:
         self.seen: dict[int, tuple[str, str, State, float]] = {}  # name, address, state, told at (ms)
         self.tenants = door.directory
+        self.keeper: Keeper | None = None
         super().__init__(config, loop, door)
 
     def apply(self, listing: Listing, kind: ListKind) -> None:
@@ -72,13 +80,15 @@
 
     def report(self) -> str:
         """The platform's figures, and those of tenants."""
-        return super().report() + "\n".join(figures.lines(self.tenants.entries.values())) + "\n"
+        lines = [*figures.lines(self.tenants.entries.values()), *effect_lines(self.keeper)]
+        return super().report() + "\n".join(lines) + "\n"
 
     def view(self) -> dict[str, Any]:
         """The proxy itself, for those who ask the API."""
         return {"phase": self.duty.phase.value, "serving": self.serving(), "descriptors": self.used,
                 "open_requests": self.figures.open, "bytes_held": self.held,
-                "clients": sum(len(front.clients) for front in self.fronts)}
+                "clients": sum(len(front.clients) for front in self.fronts),
+                "effects": self.keeper.figures() if self.keeper is not None else None}
 
     def boxes(self) -> list[dict[str, Any]]:
         nodes = self.balancer.fleet.nodes
@@ -149,6 +159,27 @@
                   admin.connections)
 
 
+def rules(file: OperatorFile) -> dict[str, Rule]:
+    """What is remembered of each class with effects."""
+    found: dict[str, Rule] = {}
+    for c in file.classes:
+        kind = EFFECTS[c.effect]
+        if file.effects is not None and kind is not Effect.SAFE:
+            keep_s = file.effects.unsafe_s if kind is Effect.UNSAFE else file.effects.keyed_s
+            found[c.name] = Rule(kind, int(keep_s * 1e3), c.window_ms if kind is Effect.KEYED else 0.0)
+    return found
+
+
+def effect_lines(keeper: Keeper | None) -> list[str]:
+    """The memory of effects on the console."""
+    if keeper is None:
+        return []
+    told = keeper.figures()
+    denied = told.pop("denied")
+    flat = told | {f"denied_{why.replace('-', '_')}": count for why, count in denied.items()}
+    return [f"effects_{name} {value}" for name, value in flat.items()]
+
+
 def defaults(file: OperatorFile) -> Defaults:
     return Defaults(tuple(c.name for c in file.classes), file.tenants.limits.core())
 
@@ -159,6 +190,7 @@
     def __init__(self, file: OperatorFile, loop: asyncio.AbstractEventLoop) -> None:
         self.file, self.loop = file, loop
         self.db = Database(file.state)
+        self.committer: Committer | None = None
         try:
             self.operations = Operations(self.db, defaults(file))
             self.directory = Directory(file.tenants.limits.core(), [r.core() for r in file.tenants.routes],
@@ -166,15 +198,35 @@
             self.door = TenantDoor(self.directory, face(file), self._pressure, secrets.token_hex(4).encode())
             self.host = HostedHost(file.config(secrets.randbits(64)), loop, self.door)
             self.door.host = self.host
+            self.keeper = self._remember()
             self.bridge = Bridge(loop, self.directory, self.host)
             self.backend = Backend(self.operations, self.bridge)
             self.admin = AdminServer(create(self.backend), parse_address(file.admin.address),
                                      bounds(file.admin))
         except BaseException:
             self.db.close()
+            if self.committer is not None:
+                self.committer.stop()
             raise
         self.flushing: asyncio.TimerHandle | None = None
 
+    def _remember(self) -> Keeper | None:
+        """The memory of effects, recovered. StoreError, ManifestError, Locked, OSError."""
+        file = self.file
+        if file.effects is None or file.effects_folder is None:
+            return None
+        options = Options(int(file.effects.segment_mb * (1 << 20)))
+        engine = Engine(RealFiles(file.effects_folder), store_clock(), options)
+        committer = Committer(engine, self.loop.call_soon_threadsafe, int(file.effects.queue_mb * (1 << 20)))
+        recovered = committer.start()
+        self.committer = committer
+        log.info("effects: %d keys recovered, %d bytes read, %d segments by hints, %d torn bytes cut off",
+                 recovered.records, recovered.scanned, recovered.hinted, recovered.torn)
+        keeper = Keeper(committer, self.host, self.host.timers.cancel)
+        keeper.rules, keeper.deadlines = rules(file), {c.name: c.deadline_ms for c in file.classes}
+        self.door.memory = self.host.keeper = keeper
+        return keeper
+
     def _pressure(self) -> float:
         return self.host.balancer.throttle.pressure()
 
@@ -224,6 +276,7 @@
             ("admin.head_max", self.file.admin.head_max, file.admin.head_max),
             ("admin.timeout_s", self.file.admin.timeout_s, file.admin.timeout_s),
             ("admin.connections", self.file.admin.connections, file.admin.connections),
+            ("effects", self.file.effects, file.effects),
             ("fleet", listed(self.file), listed(file))) if old != new]
         if fixed:
             log.warning("these wait for the next start: %s", ", ".join(fixed))
@@ -237,6 +290,9 @@
                                 file.service.in_hand)
         self.operations.defaults = defaults(file)
         self.door.face = face(file)
+        if self.keeper is not None:
+            self.keeper.rules = rules(replace(file, effects=self.file.effects))
+            self.keeper.deadlines = {c.name: c.deadline_ms for c in file.classes}
         self.admin.bounded.bounds = replace(
             self.admin.bounded.bounds, body_max=file.admin.body_max, rate_per_s=file.admin.rate_per_s,
             burst=file.admin.burst)
@@ -273,6 +329,8 @@
         used = self.directory.take_used()
         if used:
             self.db.note_used(used)
+        if self.committer is not None:
+            self.committer.stop()
         self.db.close()
 
 
@@ -305,7 +363,7 @@
     asyncio.set_event_loop(loop)
     try:
         service = Service(file, loop)
-    except (StateError, OSError) as error:
+    except (StateError, StoreError, ManifestError, Locked, OSError) as error:
         print(f"notchflow: {error}", file=sys.stderr)
         return 1
     try:
--- a/notchflow/store/engine.py
+++ b/notchflow/store/engine.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Generator, Iterator, Sequence
 from dataclasses import dataclass
 from enum import Enum
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, TypeAlias
 
 import numpy as np
 
@@ -29,15 +29,16 @@
     Placed,
     Record,
     batch_length,
+    check_sizes,
     decode_batch,
     decode_record,
     decode_segment_header,
-    encode_batch,
+    encode_fields,
     encode_segment_header,
+    join_batch,
     next_batch,
-    record_length,
 )
-from notchflow.store.index import Entry, Index, Lines, digest
+from notchflow.store.index import Index, Lines, digest
 from notchflow.store.manifest import Manifest, log_name
 
 log = logging.getLogger(__name__)
@@ -78,6 +79,9 @@
     CLOSED = "closed"
 
 
+Fields: TypeAlias = tuple[int, Kind, bytes, bytes, int]  # number, kind, key, value, expiry
+
+
 class Change(NamedTuple):
     """What a caller wants written. A key that is written again expires no earlier than it would have; a
     delete needs no expiry."""
@@ -145,7 +149,7 @@
         self.next_segment = 1
         self.latest = 0
         self.state = State.CLOSED
-        self.columns = hints.Columns()  # of the active segment
+        self.deletes = hints.Columns()  # of the active segment
         self.hidden: set[tuple[int, int]] = set()  # keys that it deletes, as digests
         self.work: Generator[None, None, None] | None = None  # a compaction under way
         self.written = self.copied = 0  # bytes appended by callers, and by compactions
@@ -224,8 +228,8 @@
             lines.append(columns.lines())
             segment.graves = columns.graves
             if number == found.segments[-1]:
-                self.columns = columns
-                self.hidden = columns.deleted()
+                self.deletes = columns.deletes()
+                self.hidden = self.deletes.keys()
             self.number = max(self.number, segment.first)
         self._fill(lines)
         return Recovered(len(self.index), torn, scanned, hinted)
@@ -292,40 +296,42 @@
         what no record can hold, before anything is written."""
         if self.state is State.BROKEN or self.state is State.CLOSED:
             raise Broken(f"the store is {self.state.value}")
-        records = self._numbered(changes)
-        if not records:
+        numbered = self._numbered(changes)
+        if not numbered:
             return self.number - 1
         segment, time = self.active, self.now()
-        data, places = _encode(records, time, segment.end)
+        data, places = _encode([record for record, _, _ in numbered], time, segment.end)
         self._write(segment, data)
         self.state = State.OPEN
-        self.number += len(records)
+        self.number += len(numbered)
         segment.end += len(data)
         self.written += len(data)
-        for record, (offset, length) in zip(records, places, strict=True):
-            self._note(segment, Placed(record, offset, length))
+        self._note(segment, numbered, places)
         if segment.end >= self.options.segment_max:
             self._roll()
         return self.number - 1
 
-    def _numbered(self, changes: Sequence[Change]) -> list[Record]:
-        """The records for changes. None expires before what it hides: that would come back, once the newer
-        record is gone from the disk and an older one is not. A key that is not there needs no delete."""
-        hides: dict[bytes, int | None] = {}  # when what is there now expires, as far as these changes go
-        records: list[Record] = []
-        for change in changes:
-            if change.key in hides:
-                old = hides[change.key]
-            else:
-                entry = self.index.get(change.key)
-                old = entry.expires if entry is not None else None
-            if change.kind is Kind.DELETE:
+    def _numbered(self, changes: Sequence[Change]) -> list[tuple[Fields, int, int]]:
+        """The records for changes, and their keys' digests. None expires before what it hides: that would
+        come back, once the newer record is gone from the disk and an older one is not. A key that is not
+        there needs no delete."""
+        hides: dict[tuple[int, int], int | None] = {}  # when what is there now expires, as far as these go
+        records: list[tuple[Fields, int, int]] = []
+        number = self.number
+        for kind, key, value, expires in changes:
+            check_sizes(key, value)
+            name = low, high = digest(key)
+            old = hides[name] if name in hides else self.index.expiry(low, high)
+            if kind is Kind.DELETE:
                 if old is None:
                     continue
-                expires, hides[change.key] = old, None
+                expires, hides[name] = old, None
             else:
-                expires = hides[change.key] = change.expires if old is None else later(change.expires, old)
-            records.append(Record(self.number + len(records), change.kind, change.key, change.value, expires))
+                if old is not None:
+                    expires = later(expires, old)
+                hides[name] = expires
+            records.append(((number, kind, key, value, expires), low, high))
+            number += 1
         return records
 
     def _write(self, segment: Segment, data: bytes) -> None:
@@ -356,16 +362,17 @@
         log.critical("the store's disk failed, it takes nothing more until a restart: %s", error)
         raise Broken(f"the store's disk failed: {error}") from error
 
-    def _note(self, segment: Segment, placed: Placed) -> None:
-        record = placed.record
-        self.columns.add(segment.number, placed)
-        if record.kind is Kind.PUT:
-            self.index.put(record.key, Entry(record.number, segment.number, placed.offset, placed.length,
-                                             record.expires))
-        else:
-            self.index.remove(record.key, record.number)
-            self.hidden.add(digest(record.key))
-            segment.graves += placed.length
+    def _note(self, segment: Segment, records: Sequence[tuple[Fields, int, int]],
+              places: Sequence[tuple[int, int]]) -> None:
+        put, name = self.index.put_at, segment.number
+        for ((number, kind, _, _, expires), low, high), (offset, length) in zip(records, places, strict=True):
+            if kind is Kind.PUT:
+                put(low, high, number, name, offset, length, expires)
+            else:
+                self.index.remove_at(low, high, number)
+                self.hidden.add((low, high))
+                self.deletes.add_delete(low, high, number, name, offset, length, expires)
+                segment.graves += length
 
     def _roll(self) -> None:
         """Seals the active segment and begins the next. Where the disk is full the old one is written on."""
@@ -386,8 +393,8 @@
         self._publish()
         for segment in self.segments.values():
             segment.held = 0
-        hints.save(self.files, old.number, old.end, self.columns)
-        self.columns, self.hidden = hints.Columns(), set()
+        hints.save(self.files, old.number, old.end, self.deletes.joined(self.index.lines_of(old.number)))
+        self.deletes, self.hidden = hints.Columns(), set()
 
     def _publish(self) -> None:
         """A manifest that may hold after a crash or not: neither may be written beyond."""
@@ -528,7 +535,8 @@
         return min((s.first for n, s in self.segments.items() if n not in merged), default=None)
 
     def _append_copies(self, records: Sequence[Record], out: Segment, columns: hints.Columns) -> None:
-        data, places = _encode(records, self.latest, out.end)
+        fields = [(r.number, r.kind, r.key, r.value, r.expires) for r in records]
+        data, places = _encode(fields, self.latest, out.end)
         out.file.append(data)
         for record, (offset, length) in zip(records, places, strict=True):
             columns.add(out.number, Placed(record, offset, length))
@@ -570,7 +578,9 @@
         try:
             if self.state in (State.OPEN, State.FULL):
                 self.now()
-                hints.save(self.files, self.active.number, self.active.end, self.columns)
+                last = self.active
+                lines = self.deletes.joined(self.index.lines_of(last.number))
+                hints.save(self.files, last.number, last.end, lines)
                 manifest.replace(self.files, self._manifest(clean=True))
         finally:
             self.state = State.CLOSED
@@ -588,23 +598,20 @@
     return 0 if one == 0 or other == 0 else max(one, other)
 
 
-def _encode(records: Sequence[Record], time: int, at: int) -> tuple[bytes, list[tuple[int, int]]]:
+def _encode(records: Sequence[Fields], time: int, at: int) -> tuple[bytes, list[tuple[int, int]]]:
     """Batches of no more than is allowed, and where each record lies, if they are written at an offset."""
-    pieces: list[bytes] = []
+    batches: list[bytes] = []
     places: list[tuple[int, int]] = []
-    start = 0
-    while start < len(records):
-        size, stop = 0, start
-        while stop < len(records):
-            length = record_length(len(records[stop].key), len(records[stop].value))
-            if size + length > BATCH_MAX:
-                break
-            size, stop = size + length, stop + 1
-        data, begins = encode_batch(records[start:stop], time)
-        bounds = [*begins, len(data)]
-        places.extend((at + a, b - a) for a, b in zip(bounds, bounds[1:], strict=False))
-        pieces.append(data)
-        at += len(data)
-        start = stop
-    return b"".join(pieces), places
-
+    pieces: list[bytes] = []
+    size = 0
+    for record in records:
+        piece = encode_fields(*record)
+        if size + len(piece) > BATCH_MAX:
+            batches.append(join_batch(pieces, records[len(places) - len(pieces)][0], time))
+            at += len(batches[-1])
+            pieces, size = [], 0
+        places.append((at + BATCH_HEADER + size, len(piece)))
+        pieces.append(piece)
+        size += len(piece)
+    batches.append(join_batch(pieces, records[len(places) - len(pieces)][0], time))
+    return b"".join(batches), places
--- a/notchflow/store/frames.py
+++ b/notchflow/store/frames.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from enum import IntEnum
+from itertools import accumulate
 from typing import Final
 
 import google_crc32c
@@ -61,10 +62,15 @@
     expires: int = 0
 
     def __post_init__(self) -> None:
-        if not 0 < len(self.key) <= KEY_MAX:
-            raise ValueError(f"key: 1 to {KEY_MAX} bytes, not {len(self.key)}")
-        if len(self.value) > VALUE_MAX:
-            raise ValueError(f"value: at most {VALUE_MAX} bytes, not {len(self.value)}")
+        check_sizes(self.key, self.value)
+
+
+def check_sizes(key: bytes, value: bytes) -> None:
+    """ValueError for what no record can hold."""
+    if not 0 < len(key) <= KEY_MAX:
+        raise ValueError(f"key: 1 to {KEY_MAX} bytes, not {len(key)}")
+    if len(value) > VALUE_MAX:
+        raise ValueError(f"value: at most {VALUE_MAX} bytes, not {len(value)}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,10 +96,14 @@
     return int(google_crc32c.value(data))
 
 
+def encode_fields(number: int, kind: int, key: bytes, value: bytes, expires: int) -> bytes:
+    """A record's bytes from its parts, which hold."""
+    body = _RECORD.pack(number, expires, kind, len(key), len(value)) + key + value
+    return _CRC.pack(google_crc32c.value(body)) + body
+
+
 def encode_record(record: Record) -> bytes:
-    body = _RECORD.pack(record.number, record.expires, record.kind, len(record.key), len(record.value))
-    body += record.key + record.value
-    return _CRC.pack(crc(body)) + body
+    return encode_fields(record.number, record.kind, record.key, record.value, record.expires)
 
 
 def decode_record(data: bytes, start: int = 0, at: int = 0, limit: int | None = None) -> Placed:
@@ -124,17 +134,18 @@
     """A batch's bytes, and where in it each record begins. `time`: of the store's clock."""
     if not records:
         raise ValueError("a batch holds at least one record")
-    pieces, starts, at = [], [], BATCH_HEADER
-    for record in records:
-        piece = encode_record(record)
-        starts.append(at)
-        pieces.append(piece)
-        at += len(piece)
+    pieces = [encode_record(record) for record in records]
+    starts = accumulate(map(len, pieces[:-1]), initial=BATCH_HEADER)
+    return join_batch(pieces, records[0].number, time), tuple(starts)
+
+
+def join_batch(pieces: Sequence[bytes], first: int, time: int) -> bytes:
+    """A batch of encoded records; the first of them has this number."""
     payload = b"".join(pieces)
     if len(payload) > BATCH_MAX:
         raise ValueError(f"a batch holds at most {BATCH_MAX} bytes, not {len(payload)}")
-    head = _BATCH.pack(BATCH_MAGIC, len(payload), records[0].number, len(records), time)
-    return _CRC.pack(crc(head + payload)) + head + payload, tuple(starts)
+    head = _BATCH.pack(BATCH_MAGIC, len(payload), first, len(pieces), time)
+    return _CRC.pack(crc(head + payload)) + head + payload
 
 
 def batch_length(head: bytes, at: int) -> int:
--- a/notchflow/store/hints.py
+++ b/notchflow/store/hints.py
@@ -48,10 +48,36 @@
         columns.graves = graves
         return columns
 
-    def deleted(self) -> set[tuple[int, int]]:
-        """The keys of deletes, as digests."""
-        low, high, _, _, meta = self.words
-        return {(a, b) for a, b, word in zip(low, high, meta, strict=True) if not word & LENGTH}
+    def deletes(self) -> Columns:
+        """The lines of deletes alone."""
+        found = Columns()
+        for line in zip(*self.words, strict=True):
+            if not line[4] & LENGTH:
+                found.extend(line)
+        found.graves = self.graves
+        return found
+
+    def extend(self, line: tuple[int, ...]) -> None:
+        for column, word in zip(self.words, line, strict=True):
+            column.append(word)
+
+    def add_delete(self, low: int, high: int, number: int, segment: int, offset: int, length: int,
+                   expires: int) -> None:
+        """A delete, by its key's digest."""
+        place, meta = pack(segment, offset, length, expires)
+        self.extend((low, high, number, place, meta - length))
+        self.graves += length
+
+    def keys(self) -> set[tuple[int, int]]:
+        """The keys of all lines, as digests."""
+        return set(zip(self.words[0], self.words[1], strict=True))
+
+    def joined(self, lines: Lines) -> Columns:
+        """These lines, and others."""
+        found = Columns.of(lines, self.graves)
+        for column, words in zip(found.words, self.words, strict=True):
+            column.extend(words)
+        return found
 
     def lines(self) -> Lines:
         return Lines(*(np.frombuffer(column, dtype=np.uint64) if column else np.zeros(0, dtype=np.uint64)
--- a/notchflow/store/index.py
+++ b/notchflow/store/index.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import hashlib
+import struct
 import threading
 from array import array
 from collections.abc import Iterator
@@ -24,6 +25,7 @@
 LENGTH_BITS: Final = 21
 SEGMENTS_MAX: Final = 1 << 24
 EXPIRES_MAX: Final = (1 << 43) - 1
+_HALVES: Final = struct.Struct("<QQ")
 _OFFSET: Final = (1 << OFFSET_BITS) - 1
 LENGTH: Final = (1 << LENGTH_BITS) - 1
 
@@ -50,8 +52,8 @@
 
 def digest(key: bytes) -> tuple[int, int]:
     """Two 64-bit halves; the first is never 0, which marks an empty slot."""
-    raw = hashlib.blake2b(key, digest_size=16).digest()
-    return int.from_bytes(raw[:8], "little") or 1, int.from_bytes(raw[8:], "little")
+    low, high = _HALVES.unpack(hashlib.blake2b(key, digest_size=16).digest())
+    return low or 1, high
 
 
 def pack(segment: int, offset: int, length: int, expires: int) -> tuple[int, int]:
@@ -171,26 +173,54 @@
                 return None
             return unpack(shard.number[slot], shard.place[slot], shard.meta[slot])
 
+    def expiry(self, low: int, high: int) -> int | None:
+        """When the record of a key, by its digest, expires; none where there is no record."""
+        shard = self.shards[low & SHARDS - 1]
+        with shard.lock:
+            slot = shard.find(low, high)
+            return shard.meta[slot] >> LENGTH_BITS if slot >= 0 else None
+
     def put(self, key: bytes, entry: Entry) -> bool:
         """The newest record wins, whatever the order in which they are told; whether it is this one."""
-        low, high = digest(key)
-        place, meta = pack(entry.segment, entry.offset, entry.length, entry.expires)
+        return self.put_at(*digest(key), *entry)
+
+    def put_at(self, low: int, high: int, number: int, segment: int, offset: int, length: int,
+               expires: int) -> bool:
+        """The same by the key's digest."""
+        place, meta = pack(segment, offset, length, expires)
         shard = self.shards[low & SHARDS - 1]
         with shard.lock:
             slot = shard.find(low, high)
             if slot >= 0:
-                if shard.number[slot] >= entry.number:
+                if shard.number[slot] >= number:
                     return False
                 self._lose(shard, slot)
-                shard.write(slot, low, high, entry.number, place, meta)
+                shard.number[slot], shard.place[slot], shard.meta[slot] = number, place, meta
             else:
-                shard.put(low, high, entry.number, place, meta)
-        self.live[entry.segment] = self.live.get(entry.segment, 0) + entry.length
+                if shard.count + 1 > FILL * shard.size:
+                    shard.rebuild(shard.lines(), 2 * shard.size)
+                    slot = shard.find(low, high)
+                shard.write(~slot, low, high, number, place, meta)
+                shard.count += 1
+        self.live[segment] = self.live.get(segment, 0) + length
         return True
 
+    def lines_of(self, segment: int) -> Lines:
+        """All entries that lie in a segment."""
+        found = []
+        for shard in self.shards:
+            with shard.lock:
+                columns = shard.columns()
+                here = (columns[0] != 0) & (columns[3] >> np.uint64(OFFSET_BITS) == np.uint64(segment))
+                found.append([column[here] for column in columns])
+        return Lines(*(np.concatenate(column) for column in zip(*found, strict=True)))
+
     def remove(self, key: bytes, number: int) -> bool:
         """Forgets a key unless a newer record than this number is known."""
-        low, high = digest(key)
+        return self.remove_at(*digest(key), number)
+
+    def remove_at(self, low: int, high: int, number: int) -> bool:
+        """The same by the key's digest."""
         shard = self.shards[low & SHARDS - 1]
         with shard.lock:
             slot = shard.find(low, high)
--- a/tests/hosting/rig.py
+++ b/tests/hosting/rig.py
@@ -61,6 +61,17 @@
 path = "/orders/{{day}}/pay"
 class = "once"
 key = ["day"]
+[[tenants.routes]]
+method = "PUT"
+path = "/menus/{{day}}/slots"
+class = "keyed"
+key = ["day"]
+[[tenants.routes]]
+method = "POST"
+path = "/orders/{{day}}/strict"
+class = "once"
+key = ["day"]
+idempotency = "required"
 """
 
 
@@ -118,10 +129,13 @@
         await self.start()
         return self
 
+    def command(self, file: Path | None = None) -> list[str]:
+        return [sys.executable, "-m", "notchflow", "serve", str(file or self.file)]
+
     async def start(self) -> None:
         """Starts the process and waits for both listeners."""
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "notchflow", "serve", str(self.file)],
+            self.command(),
             cwd=ROOT,
             stderr=(self.folder / "log").open("ab"),
         )
@@ -202,8 +216,10 @@
         self.clients.append(client)
         return client
 
-    def request(self, tenant: str, path: str = "/menus/d1", method: str = "GET", body: bytes = b"") -> bytes:
+    def request(self, tenant: str, path: str = "/menus/d1", method: str = "GET", body: bytes = b"",
+                key: str = "") -> bytes:
         length = f"Content-Length: {len(body)}\r\n" if method != "GET" else ""
+        length += f"Idempotency-Key: {key}\r\n" if key else ""
         return (
             f"{method} {path} HTTP/1.1\r\nHost: door\r\nAuthorization: Bearer {self.tokens[tenant]}\r\n"
             f"{length}\r\n"
--- /dev/null
+++ b/tests/hosting/test_effects.py
@@ -0,0 +1,255 @@
+"""The memory of effects in the service as a process: repeats, crashes, a full disk."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+from collections import Counter
+from pathlib import Path
+
+from standins.ports import free_ports
+from tests.hosting.rig import Held, Service
+from tests.rig import Client, Seen, answer, run, serve_value, until
+
+ON = "[effects]\nunsafe_s = 3600.0\nkeyed_s = 600.0\nsegment_mb = 0.25"
+PAY = {"method": "POST", "path": "/orders/d1/pay", "body": b"due=1"}
+KILLS = 100 if os.environ.get("NOTCHFLOW_LONG") else 6
+
+
+async def pay(service: Service, key: str, client: Client | None = None, **more: object) -> Seen:
+    return await service.ask("alfa", client, **(PAY | {"key": key} | more))
+
+
+def test_a_repeat_of_a_payment_is_told_its_fate_also_by_another_process(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Service(tmp_path, serve_value, service=ON) as service:
+            await service.add("alfa", "beta")
+            first = await pay(service, "o-1")
+            assert first.status == 200 and first.body.startswith(b"value of")
+            again = await pay(service, "o-1")
+            assert again.status == 200 and again.headers["idempotency-replayed"] == "true"
+            assert again.body == b'{"fate": "served", "status": 200}'
+            other = await pay(service, "o-1", body=b"due=2")
+            assert other.status == 422 and b"idempotency-key-reused" in other.body
+            theirs = await service.ask("beta", **PAY, key="o-1")  # type: ignore[arg-type]
+            assert theirs.status == 200, "another tenant's key is its own"
+            await service.kill()
+            await service.start()
+            again = await pay(service, "o-1")
+            assert again.status == 200 and again.headers.get("idempotency-replayed") == "true"
+            assert len(service.sent) == 2
+            view = (await service.api.get("/v1/proxy")).json()["effects"]
+            assert view["told"] == 1 and view["store"] == "open" and view["keys"] == 2
+
+    run(test(), 40)
+
+
+def test_a_repeat_while_the_first_is_in_hand_is_not_sent(tmp_path: Path) -> None:
+    async def test() -> None:
+        held = Held()
+        async with Service(tmp_path, held, service=ON) as service:
+            await service.add("alfa")
+            client = await service.connect()
+            client.writer.write(service.request("alfa", **PAY, key="o-1"))  # type: ignore[arg-type]
+            await until(lambda: held.requests)
+            again = await pay(service, "o-1")
+            assert again.status == 409 and b'"fate": "in-hand"' in again.body
+            assert int(again.headers["retry-after"]) >= 1
+            held.requests[0].set()
+            first = await client.receive()
+            assert first is not None and first.status == 200
+            assert (await pay(service, "o-1")).headers["idempotency-replayed"] == "true"
+            assert len(service.sent) == 1
+
+    run(test(), 40)
+
+
+def test_killed_between_send_and_answer_the_repeat_is_not_sent(tmp_path: Path) -> None:
+    """The first attempt still runs at the box when the client's retry reaches the new process."""
+    async def test() -> None:
+        held = Held()
+        async with Service(tmp_path, held, service=ON) as service:
+            await service.add("alfa")
+            client = await service.connect()
+            client.writer.write(service.request("alfa", **PAY, key="o-1"))  # type: ignore[arg-type]
+            await until(lambda: held.requests)
+            await service.kill()
+            await service.start()
+            again = await pay(service, "o-1")
+            assert again.status == 409 and b'"fate": "unknown"' in again.body
+            held.requests[0].set()
+            assert (await pay(service, "o-1")).status == 409, "nobody can say what became of it"
+            assert len(service.sent) == 1
+
+    run(test(), 40)
+
+
+def test_a_refused_payment_may_go_again_and_one_whose_box_broke_off_may_not(tmp_path: Path) -> None:
+    async def test() -> None:
+        async def full(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(b"", "503 Service Unavailable", X_Rejected="1"))
+
+        async def breaks(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.transport.abort()
+
+        async with Service(tmp_path, full, service=ON) as service:
+            await service.add("alfa")
+            refused = await pay(service, "o-1")
+            assert refused.status == 503
+            service.boxes[0].script = serve_value
+            assert (await pay(service, "o-1")).status == 200
+            service.boxes[0].script = breaks
+            assert (await pay(service, "o-2")).status == 502
+            service.boxes[0].script = serve_value
+            assert (await pay(service, "o-2")).status == 409
+
+    run(test(), 40)
+
+
+def test_a_keyed_write_is_sent_again_within_its_window(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Service(tmp_path, serve_value, service=ON) as service:
+            await service.add("alfa")
+            slots = {"method": "PUT", "path": "/menus/d1/slots", "body": b"7"}
+            assert (await service.ask("alfa", **slots, key="s-1")).status == 200  # type: ignore[arg-type]
+            again = await service.ask("alfa", **slots, key="s-1")  # type: ignore[arg-type]
+            assert again.status == 200 and "idempotency-replayed" not in again.headers
+            assert len(service.sent) == 2 and len({s.headers["idempotency-key"] for s in service.sent}) == 1
+
+    run(test(), 40)
+
+
+def test_a_route_may_require_a_key(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Service(tmp_path, serve_value, service=ON) as service:
+            await service.add("alfa")
+            strict = {"method": "POST", "path": "/orders/d1/strict", "body": b"due=1"}
+            missing = await service.ask("alfa", **strict)  # type: ignore[arg-type]
+            assert missing.status == 400 and b"idempotency-key-required" in missing.body
+            assert (await service.ask("alfa", **strict, key="o-1")).status == 200  # type: ignore[arg-type]
+            free = await service.ask("alfa", **PAY)  # type: ignore[arg-type]
+            assert free.status == 200, "elsewhere it need not be sent"
+
+    run(test(), 40)
+
+
+def test_a_damaged_store_keeps_the_service_from_starting_and_says_what_to_do(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Service(tmp_path, serve_value, service=ON) as service:
+            await service.add("alfa")
+            for n in range(3):
+                await pay(service, f"o-{n}")
+            await service.kill()
+            path = next((tmp_path / "state" / "effects").glob("*.log"))
+            data = bytearray(path.read_bytes())
+            data[60] ^= 1
+            path.write_bytes(data)
+            process = await asyncio.create_subprocess_exec(
+                *service.command(), stderr=asyncio.subprocess.PIPE, cwd=Path.cwd())
+            _, told = await process.communicate()
+            assert process.returncode == 1
+            assert b"notchflow store check" in told and path.name.encode() in told and b"offset" in told
+
+    run(test(), 40)
+
+
+class Kitchen:
+    """A box that counts what it runs under each key, and answers late, breaks off or turns away at times."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng, self.ran = random.Random(seed), Counter[str]()
+
+    async def __call__(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
+        draw = self.rng.random()
+        if draw < 0.1:
+            writer.write(answer(b"", "503 Service Unavailable", X_Rejected="1"))
+            return
+        self.ran[seen.headers["idempotency-key"]] += 1
+        if draw < 0.2:
+            writer.transport.abort()
+            return
+        await asyncio.sleep(self.rng.random() * 0.02)
+        writer.write(answer())
+
+
+def test_no_payment_runs_twice_however_often_the_service_is_killed(tmp_path: Path) -> None:
+    """Clients send each payment until they are told its fate: a repeat after every refusal, break and
+    silence."""
+    async def test() -> None:
+        kitchen, counts = Kitchen(1), Counter[str]()
+        served: set[str] = set()
+        over = asyncio.Event()
+        async with Service(tmp_path, kitchen, service=ON) as service:
+            await service.add("alfa")
+
+            async def customer(number: int) -> None:
+                order = 0
+                while not over.is_set():
+                    order += 1
+                    key = f"c{number}-{order}"
+                    for _ in range(60):
+                        counts["requests"] += 1
+                        try:
+                            async with asyncio.timeout(8):
+                                seen = await pay(service, key, body=key.encode())
+                        except (OSError, AssertionError, TimeoutError):
+                            counts["broken"] += 1
+                            await asyncio.sleep(0.02)
+                            continue
+                        if "idempotency-replayed" in seen.headers:
+                            counts["repeats told"] += 1
+                        if seen.status == 200:
+                            served.add(key)
+                            break
+                        if b'"fate": "unknown"' in seen.body or seen.status in (502, 504):
+                            counts["unknown"] += 1
+                            if seen.status == 409:
+                                break
+                        await asyncio.sleep(0.01)
+
+            customers = [asyncio.create_task(customer(n)) for n in range(12)]
+            rng = random.Random(2)
+            for _ in range(KILLS):
+                await asyncio.sleep(0.1 + rng.random() * 0.4)
+                counts["kills"] += 1
+                await service.kill()
+                await service.start()
+            await asyncio.sleep(0.3)
+            over.set()
+            await asyncio.gather(*customers)
+            assert kitchen.ran and max(kitchen.ran.values()) == 1, "a payment ran twice"
+            own = {key.partition("/")[2] for key in kitchen.ran}
+            assert served <= own, "what was told to be served has run"
+            assert counts["broken"] > 0 and counts["unknown"] > 0
+            print(dict(counts), f"{len(kitchen.ran)} ran, {len(served)} told so")
+
+    run(test(), 30.0 + 4 * KILLS)
+
+
+def test_without_the_section_nothing_is_remembered(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Service(tmp_path, serve_value) as service:
+            await service.add("alfa")
+            assert (await pay(service, "o-1")).status == 200
+            assert "idempotency-replayed" not in (await pay(service, "o-1")).headers
+            assert not (tmp_path / "state" / "effects").exists()
+            assert (await service.api.get("/v1/proxy")).json()["effects"] is None
+
+    run(test(), 40)
+
+
+def test_two_services_do_not_share_a_store(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Service(tmp_path, serve_value, service=ON) as service:
+            port, admin = free_ports(2)
+            other = tmp_path / "other.toml"
+            text = service.file.read_text().replace(str(service.port), str(port))
+            text = text.replace(str(service.admin_port), str(admin))
+            other.write_text(text.replace('[service]\n', '[service]\nstate = "state"\n', 1))
+            process = await asyncio.create_subprocess_exec(
+                *service.command(other), stderr=asyncio.subprocess.PIPE, cwd=Path.cwd())
+            _, told = await process.communicate()
+            assert process.returncode == 1 and told.startswith(b"notchflow: ")
+
+    run(test(), 40)
