--- a/notchflow/effects/memory.py
+++ b/notchflow/effects/memory.py
@@ -146,7 +146,7 @@
             return self._deny(Why.MISMATCH)
         if held.phase is not Phase.CLOSING or held.effect is None:
             return self._deny(Why.IN_HAND)
-        if held.freed:  # that it is free is on the way to the disk, and comes there before what is written now
+        if held.freed:  # that it is free is on the way to the disk, and gets there before what comes now
             return self._begin(key, fingerprint, rule, now_ms, None)
         return self._by_record(key, held.effect, rule, now_ms)
 
--- a/notchflow/store/engine.py
+++ b/notchflow/store/engine.py
@@ -483,7 +483,7 @@
         except BaseException as error:
             if number not in self.segments:
                 out.file.close()
-                if not isinstance(error, Broken):
+                if not isinstance(error, Broken | GeneratorExit):  # else the next start removes it
                     self._remove(number)
             if isinstance(error, FrameError):
                 return
--- a/notchflow/store/index.py
+++ b/notchflow/store/index.py
@@ -96,12 +96,12 @@
         self.low[slot], self.high[slot], self.number[slot] = low, high, number
         self.place[slot], self.meta[slot] = place, meta
 
-    def put(self, low: int, high: int, number: int, place: int, meta: int) -> None:
-        """Adds a key that is not there, at an empty slot."""
+    def add(self, slot: int, low: int, high: int, number: int, place: int, meta: int) -> None:
+        """Adds a key that is not there; `slot` is what `find` said of it."""
         if self.count + 1 > FILL * self.size:
             self.rebuild(self.lines(), 2 * self.size)
-        slot = ~self.find(low, high)
-        self.write(slot, low, high, number, place, meta)
+            slot = self.find(low, high)
+        self.write(~slot, low, high, number, place, meta)
         self.count += 1
 
     def drop(self, slot: int) -> None:
@@ -197,11 +197,7 @@
                 self._lose(shard, slot)
                 shard.number[slot], shard.place[slot], shard.meta[slot] = number, place, meta
             else:
-                if shard.count + 1 > FILL * shard.size:
-                    shard.rebuild(shard.lines(), 2 * shard.size)
-                    slot = shard.find(low, high)
-                shard.write(~slot, low, high, number, place, meta)
-                shard.count += 1
+                shard.add(slot, low, high, number, place, meta)
         self.live[segment] = self.live.get(segment, 0) + length
         return True
 
--- a/tests/effects/test_memory.py
+++ b/tests/effects/test_memory.py
@@ -226,7 +226,7 @@
                     disk.pop(key, None)
                 else:
                     disk[key] = effect
-            memory.closed(key)
+            memory.closed(key, turns[key])
         elif draw > 0.98:
             memory, writing = Memory(boot), {}
             out.clear()
--- a/tests/store/test_index.py
+++ b/tests/store/test_index.py
@@ -50,7 +50,7 @@
                 shard.drop(slot)
                 del model[low, high]
             elif len(model) < 30:
-                shard.put(low, high, 1, len(model), 1)
+                shard.add(slot, low, high, 1, len(model), 1)
                 model[low, high] = len(model)
             for (a, b), place in model.items():
                 at = shard.find(a, b)
