--- a/notchflow/cli.py
+++ b/notchflow/cli.py
@@ -27,6 +27,9 @@
     demo.add_argument("--plain", action="store_true", help="lines instead of a live table")
     admin = commands.add_parser("admin", help="call the administration API", add_help=False)
     admin.add_argument("rest", nargs=argparse.REMAINDER)
+    lab = commands.add_parser("lab", help="emulated days, with the module and what it is compared with",
+                              add_help=False)
+    lab.add_argument("rest", nargs=argparse.REMAINDER)
     store = commands.add_parser("store", help="check, dump, compact or repair a store that nobody has open")
     store.add_argument("action", choices=("check", "dump", "compact", "repair"))
     store.add_argument("folder", type=Path, help="the store's folder, or a copy of it")
@@ -72,13 +75,16 @@
 def main(arguments: Sequence[str]) -> int:
     """Runs one command; its exit status."""
     given = list(arguments)
-    if given[:1] == ["admin"]:
-        problem = _extras("admin")
-        if problem is None:
-            from notchflow.admin.client import main as admin
-            return admin(given[1:])
-        print(problem, file=sys.stderr)
-        return 1
+    if given[:1] in (["admin"], ["lab"]):
+        problem = _extras(given[0])
+        if problem is not None:
+            print(problem, file=sys.stderr)
+            return 1
+        if given[0] == "lab":
+            from notchflow.emulator.command import main as lab
+            return lab(given[1:])
+        from notchflow.admin.client import main as admin
+        return admin(given[1:])
     options = parser().parse_args(given)
     problem = _extras(options.command)
     if problem is not None:
--- /dev/null
+++ b/notchflow/emulator/command.py
@@ -0,0 +1,90 @@
+"""`notchflow lab`: one kind of day, drawn several times, with each decider on the same draws."""
+
+from __future__ import annotations
+
+import argparse
+import statistics
+import sys
+import time
+from collections.abc import Sequence
+
+from rich.console import Console
+from rich.table import Table
+
+from notchflow.emulator.deciders import DECIDERS
+from notchflow.emulator.spec import Day, Event, Fleet, Load
+from notchflow.emulator.world import World
+
+DAYS: dict[str, tuple[Event, ...]] = {
+    "calm": (),
+    "drain": (Event(3_000.0, "drain", 0.6, 5_000.0),),
+    "restart": (Event(3_000.0, "restart", 1.0, 8_000.0),),
+    "massacre": (Event(3_000.0, "massacre", 0.7),),
+    "zone": (Event(3_000.0, "zone", 1.0, 5_000.0),),
+    "slow": (Event(3_000.0, "slow", 0.125, 8_000.0),),
+    "release": (Event(3_000.0, "drain", 0.5, 6_000.0), Event(4_000.0, "restart", 1.0, 8_000.0)),
+}
+
+
+def parser() -> argparse.ArgumentParser:
+    made = argparse.ArgumentParser(prog="notchflow lab", description=__doc__)
+    made.add_argument("day", choices=sorted(DAYS))
+    made.add_argument("--deciders", default="notchflow,rendezvous,two-choices",
+                      help=f"some of {', '.join(DECIDERS)} (default: %(default)s)")
+    made.add_argument("--draws", type=int, default=2, help="days of this kind, each by its seed (default: 2)")
+    made.add_argument("--seed", type=int, default=1, help="of the first (default: 1)")
+    made.add_argument("--boxes", type=int, default=24)
+    made.add_argument("--proxies", type=int, default=40)
+    made.add_argument("--load", type=float, default=0.5, help="of what all warm boxes can do (default: 0.5)")
+    made.add_argument("--hot", type=float, default=0.0, help="part of the traffic that asks for one key")
+    made.add_argument("--seconds", type=float, default=10.0, help="length of a day (default: 10)")
+    return made
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Prints a table; 2 where an option makes no sense, 1 where the module broke a rule."""
+    options = parser().parse_args(arguments)
+    names = options.deciders.split(",")
+    unknown = [name for name in names if name not in DECIDERS]
+    if unknown:
+        known = ", ".join(DECIDERS)
+        print(f"notchflow: --deciders: {', '.join(unknown)}; known are {known}", file=sys.stderr)
+        return 2
+    if options.draws < 1 or options.seconds <= 0:
+        print(f"notchflow: --draws {options.draws}, --seconds {options.seconds:g}; both must be above 0",
+              file=sys.stderr)
+        return 2
+    try:
+        fleet, load = Fleet(options.boxes, options.proxies), Load(load=options.load, hot=options.hot)
+        days = [Day(fleet, load, DAYS[options.day], options.seconds * 1e3, options.seed + n)
+                for n in range(options.draws)]
+    except ValueError as error:
+        print(f"notchflow: {error}", file=sys.stderr)
+        return 2
+    sizes = f"{options.boxes} boxes, {options.proxies} proxies"
+    table = Table(title=f"{options.day}: {options.draws} draws, {sizes}")
+    for column in ("decider", "worth in time", "spread", "late", "refused", "failed", "dials a try",
+                   "rules broken", "seconds a day"):
+        table.add_column(column, justify="left" if column == "decider" else "right")
+    broken = 0
+    for name in names:
+        found = [_row(day, name) for day in days]
+        shares = [row[0] for row in found]
+        broken += sum(row[6] for row in found) if name == "notchflow" else 0
+        spread = statistics.pstdev(shares)
+        middle = [statistics.fmean(row[i] for row in found) for i in range(1, 6)]
+        table.add_row(name, f"{statistics.fmean(shares):.3f}", f"{spread:.3f}",
+                      *(f"{value:.3f}" for value in middle[:4]), str(sum(row[6] for row in found)),
+                      f"{middle[4]:.1f}")
+    Console().print(table)
+    return int(broken > 0)
+
+
+def _row(day: Day, name: str) -> tuple[float, float, float, float, float, float, int]:
+    """Worth in time; of the tries late, refused, failed, dials; seconds taken; kinds of rules broken."""
+    begun = time.monotonic()
+    ledger = World(day, DECIDERS[name]).play()
+    total = ledger.total()
+    tries = max(total.offered, 1)
+    return (ledger.share_in_time(), total.late / tries, total.refused / tries, total.failed / tries,
+            total.dials / tries, time.monotonic() - begun, len({b.rule for b in ledger.broken}))
--- a/notchflow/emulator/spec.py
+++ b/notchflow/emulator/spec.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Literal
 
-from notchflow.interface import Limits, RequestClass, Rules, Settings
+from notchflow.interface import Effect, Limits, RequestClass, Rules, Settings
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,7 +98,7 @@
 
 CLASSES = (
     RequestClass("read", 500.0, 1_200.0, worth=2.0),
-    RequestClass("pay", 500.0, 1_200.0, worth=8.0),
+    RequestClass("pay", 500.0, 1_200.0, worth=8.0, effect=Effect.UNSAFE),
 )
 RULES = Rules(answer_slack_ms=20.0, drain_grace_ms=250.0, cold_share=0.15, cold_ms=20_000.0,
               overload_factor=4.0, fall_ms=1_000.0)
--- /dev/null
+++ b/tests/emulator/test_fleet.py
@@ -0,0 +1,78 @@
+"""Bounds on what a hundred of the real modules do together. Each fails on the code before its fix."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+
+from notchflow.emulator.ledger import Ledger
+from notchflow.emulator.spec import Day, Event, Fleet, Load
+from notchflow.emulator.world import World
+from notchflow.policy import fleet as policy_fleet
+from notchflow.policy import kinds
+from notchflow.policy.nodes import Node
+from notchflow.policy.placement import Placement
+
+FLEET = Fleet(boxes=24, proxies=100)
+DAY = Day(fleet=FLEET, load=Load(load=0.4), length=8_000.0)
+
+
+def played(day: Day) -> tuple[Ledger, float]:
+    """The books, and the most that a cold box was sent, as a multiple of what it could do."""
+    world = World(day)
+    ledger = world.play()
+    return ledger, max(box.worst for box in world.boxes.values())
+
+
+def test_a_hot_key_does_not_follow_its_home_to_a_cold_box(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Six in ten boxes are replaced; one key has a twelfth of the traffic. Of eight seeds seven push cold
+    boxes less than before (by a fifth in all); the two that show it most are played here."""
+    replaced, hot = Event(1_000.0, "drain", 0.6, 1_500.0), Load(load=0.35, hot=0.08)
+    days = [Day(Fleet(boxes=30, proxies=80), hot, (replaced,), 6_500.0, seed) for seed in (4, 5)]
+    now = [played(day) for day in days]
+    assert [ledger.broken for ledger, _ in now] == [[], []]
+
+    def floor_alone(self: Placement, node: Node, at: float, key: str | None, rate: float) -> bool:
+        return not self.fleet.overspent(node, at, rate)
+
+    monkeypatch.setattr(Placement, "_may_warm", floor_alone)
+    before = [played(day) for day in days]
+    assert sum(worst for _, worst in now) < 0.75 * sum(worst for _, worst in before)
+
+
+def test_kinds_are_known_sooner_than_by_steps(monkeypatch: pytest.MonkeyPatch) -> None:
+    """From a start with everything to learn; the boxes' memories are empty as well."""
+    day = replace(DAY, load=Load(load=0.55), length=7_000.0)
+    now = sum(played(replace(day, seed=seed))[0].share_in_time(2_000.0, 7_000.0) for seed in (1, 2))
+
+    def steps(many: bool, known: kinds.Steps | kinds.Beliefs | None = None) -> kinds.Steps:
+        return known if isinstance(known, kinds.Steps) else kinds.Steps()
+
+    monkeypatch.setattr(policy_fleet, "estimator", steps)
+    before = sum(played(replace(day, seed=seed))[0].share_in_time(2_000.0, 7_000.0) for seed in (1, 2))
+    assert now > before
+
+
+@pytest.mark.parametrize(("event", "least"), [
+    (Event(2_000.0, "restart", 1.0, 4_000.0), 0.85), (Event(2_000.0, "massacre", 0.7), 0.82),
+    (Event(2_000.0, "zone", 1.0, 2_500.0), 0.55), (Event(2_000.0, "slow", 0.125, 4_000.0), 0.8)])
+def test_what_a_hundred_proxies_keep_in_time_through_trouble(event: Event, least: float) -> None:
+    """Worth in time over worth asked for, over the whole day; no rule is broken, nothing pushed over."""
+    ledger, worst = played(replace(DAY, events=(event,)))
+    assert ledger.broken == []
+    assert ledger.share_in_time() > least
+    assert worst < DAY.rules.overload_factor
+
+
+def dials(day: Day, make: Callable[[Day], tuple[Ledger, float]] = played) -> float:
+    ledger, _ = make(day)
+    total = ledger.total()
+    return total.dials / max(sum(total.attempts.values()), 1)
+
+
+def test_restarts_cost_dials_and_little_else() -> None:
+    """A proxy that is restarted dials anew; the others keep what they have."""
+    calm, restart = dials(DAY), dials(replace(DAY, events=(Event(2_000.0, "restart", 1.0, 4_000.0),)))
+    assert calm < restart < 3 * calm + 0.2
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -38,6 +38,45 @@
     run(test())
 
 
+def test_a_list_cut_off_at_any_byte_is_one_failure_and_nothing_known_is_lost() -> None:
+    """Also without a word of its length, and of another list than the one that is known."""
+    async def test() -> None:
+        async with Rig() as rig:
+            told = rig.told(Membership)
+            whole = rig.listing(44, True, [rig.entry(0), rig.entry(0, id="s-9")])
+            for cut in range(0, len(whole), 5):
+                told.clear()
+                rig.host.discovery.watch(True)
+                _, writer = await rig.calls.get()
+                writer.write(whole[:cut])
+                writer.close()
+                await until(lambda: told)
+                assert [m.kind for m in told] == [ListKind.FAILED], cut
+                assert len(rig.host.listed) == 1 and rig.host.discovery.revision == 41
+            assert (await rig.ask()).status == 200
+            rig.host.discovery.watch(True)
+            _, writer = await rig.calls.get()
+            writer.write(whole)
+            await until(lambda: len(rig.host.listed) == 2)
+
+    run(test(), 30)
+
+
+@pytest.mark.parametrize("count", [0, 1, 10_000])
+def test_a_list_of_no_node_of_one_and_of_ten_thousand_is_taken_over(count: int) -> None:
+    async def test() -> None:
+        async with Rig() as rig:
+            rig.host.discovery.watch(True)
+            _, writer = await rig.calls.get()
+            members = [rig.entry(0, id=f"s-{n}") for n in range(count)]
+            writer.write(rig.listing(44, True, members))
+            await until(lambda: rig.host.discovery.revision == 44)
+            assert len(rig.host.listed) == count
+            assert (await rig.ask()).status == (200 if count else 503)
+
+    run(test(), 30)
+
+
 @pytest.mark.parametrize("data", [
     answer(status="503 Service Unavailable"), answer(b"{"), answer(b"[]"), answer(b'{"revision":50}'),
     answer(b'{"revision":50,"complete":true,"members":[{"id":"s","phase":"odd","host_port":"127.0.0.1:1"}]}'),
