--- a/notchflow/emulator/command.py
+++ b/notchflow/emulator/command.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from collections.abc import Sequence
+from typing import Final
 
 from rich.console import Console
 from rich.table import Table
@@ -15,6 +16,7 @@
 from notchflow.emulator.spec import Day, Event, Fleet, Load
 from notchflow.emulator.world import World
 
+WIDTH: Final = 112  # the table's, whatever it is printed to
 DAYS: dict[str, tuple[Event, ...]] = {
     "calm": (),
     "drain": (Event(3_000.0, "drain", 0.6, 5_000.0),),
@@ -76,7 +78,8 @@
         table.add_row(name, f"{statistics.fmean(shares):.3f}", f"{spread:.3f}",
                       *(f"{value:.3f}" for value in middle[:4]), str(sum(row[6] for row in found)),
                       f"{middle[4]:.1f}")
-    Console().print(table)
+    console = Console()
+    Console(width=max(console.width, WIDTH)).print(table)
     return int(broken > 0)
 
 
