--- a/tests/hosting/test_effects.py
+++ b/tests/hosting/test_effects.py
@@ -192,7 +192,12 @@
                         counts["requests"] += 1
                         try:
                             async with asyncio.timeout(8):
-                                seen = await pay(service, key, body=key.encode())
+                                client = await service.connect()
+                                try:
+                                    seen = await pay(service, key, client, body=key.encode())
+                                finally:
+                                    service.clients.remove(client)
+                                    client.writer.transport.abort()
                         except (OSError, AssertionError, TimeoutError):
                             counts["broken"] += 1
                             await asyncio.sleep(0.02)
