Store: one piece each for whole files, expiry, sizes and hints; a repair reads each batch once

Found on reading the change again: files were opened, read or replaced by the same lines in four modules; the rule of an expiry stood in five places; sizes were checked and reckoned a second time in submit; a hint's lines were joined twice; decode_batch repeated batch_length; a queue entry was two things with empty fields; a check yielded records, offsets and ranges in one stream, so that a repair read every batch twice. Index.entries and frames.batches were dead. Behaviour is as before; the tests keep their assertions, and the words for a size that is too much are one.

--- a/notchflow/store/commit.py
+++ b/notchflow/store/commit.py
@@ -17,7 +17,7 @@
 from typing import Final
 
 from notchflow.store.engine import Broken, Change, Engine, Full, Recovered, State, StoreError
-from notchflow.store.frames import KEY_MAX, RECORD_HEADER, VALUE_MAX, Record
+from notchflow.store.frames import Record, check_sizes, record_length
 
 log = logging.getLogger(__name__)
 
@@ -44,15 +44,22 @@
     waiting: int = 0  # bytes
 
 
-@dataclass(slots=True)
-class _Asked:
-    """Changes that are to be durable, or a key that is to be read."""
+@dataclass(frozen=True, slots=True)
+class _Write:
+    """Changes that are to be durable together; `size`: bytes."""
 
     changes: Sequence[Change]
     size: int
-    done: Done | None = None
-    key: bytes = b""
-    found: Found | None = None
+    done: Done
+
+
+@dataclass(frozen=True, slots=True)
+class _Read:
+    """A key that is to be read."""
+
+    key: bytes
+    found: Found
+    size: int = 0
 
 
 class Committer:
@@ -63,7 +70,7 @@
                  queue_bytes: int = QUEUE_BYTES) -> None:
         self.engine, self.deliver, self.queue_bytes = engine, deliver, queue_bytes
         self.figures = Figures()
-        self.queue: deque[_Asked] = deque()
+        self.queue: deque[_Write | _Read] = deque()
         self.wake = threading.Condition()
         self.stopping = False
         self.thread = threading.Thread(target=self._run, name="store", daemon=True)
@@ -91,19 +98,18 @@
         record can hold."""
         size = 0
         for change in changes:
-            if not 0 < len(change.key) <= KEY_MAX or len(change.value) > VALUE_MAX:
-                raise ValueError(f"a key of {len(change.key)} and a value of {len(change.value)} bytes")
-            size += RECORD_HEADER + len(change.key) + len(change.value)
+            check_sizes(change.key, change.value)
+            size += record_length(len(change.key), len(change.value))
         if self.engine.state in (State.BROKEN, State.CLOSED) or self.stopping:
             raise Broken(f"the store is {self.engine.state.value}")
         if self.figures.waiting + size > self.queue_bytes:
             self.figures.turned_away += 1
             raise Backlogged(f"{self.figures.waiting} bytes wait for the disk")
-        self._ask(_Asked(changes, size, done))
+        self._ask(_Write(changes, size, done))
 
     def read(self, key: bytes, found: Found) -> None:
         """The newest record of a key that is durable by then; `found` hears the record, none, or an error."""
-        self._ask(_Asked((), 0, key=key, found=found))
+        self._ask(_Read(key, found))
 
     def stop(self) -> None:
         """Commits what waits, and closes the store."""
@@ -114,7 +120,7 @@
             self.thread.join()
 
     # -- the thread
-    def _ask(self, asked: _Asked) -> None:
+    def _ask(self, asked: _Write | _Read) -> None:
         with self.wake:
             self.queue.append(asked)
             self.figures.waiting += asked.size
@@ -131,8 +137,8 @@
             if ending:
                 break
             if group:
-                self._commit([a for a in group if a.done is not None])
-                self._look_up([a for a in group if a.found is not None])
+                self._commit([a for a in group if isinstance(a, _Write)])
+                self._look_up([a for a in group if isinstance(a, _Read)])
             now = time.monotonic()
             if not group or now >= stepped + BUSY_STEP_S:
                 more, stepped = self._upkeep(), now
@@ -141,15 +147,16 @@
         except OSError as error:
             log.error("the store did not end in order: %s", error)
 
-    def _group(self) -> list[_Asked]:
-        group, size = [], 0
+    def _group(self) -> list[_Write | _Read]:
+        group: list[_Write | _Read] = []
+        size = 0
         while self.queue and size <= GROUP_BYTES:
             asked = self.queue.popleft()
             size += asked.size
             group.append(asked)
         return group
 
-    def _commit(self, group: list[_Asked]) -> None:
+    def _commit(self, group: list[_Write]) -> None:
         if not group:
             return
         begun = time.monotonic()
@@ -168,9 +175,9 @@
         figures.commits += 1
         figures.changes += len(changes)
         figures.slowest_s = max(figures.slowest_s, time.monotonic() - begun)
-        self._tell([partial(asked.done, problem) for asked in group if asked.done is not None])
+        self._tell([partial(asked.done, problem) for asked in group])
 
-    def _look_up(self, group: list[_Asked]) -> None:
+    def _look_up(self, group: list[_Read]) -> None:
         calls: list[Callable[[], None]] = []
         for asked in group:
             answer: Record | StoreError | None
@@ -180,8 +187,7 @@
                 answer = error
             except OSError as error:
                 answer = StoreError(f"the store cannot be read: {error}")
-            if asked.found is not None:
-                calls.append(partial(asked.found, answer))
+            calls.append(partial(asked.found, answer))
         self._tell(calls)
 
     def _tell(self, calls: list[Callable[[], None]]) -> None:
--- a/notchflow/store/compaction.py
+++ b/notchflow/store/compaction.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from notchflow.store.frames import Kind, Record
+from notchflow.store.frames import Kind, Record, expired
 
 DEAD_SHARE: Final = 0.5  # of a segment before it is worth copying the rest
 SMALL_SHARE: Final = 0.1  # of a full segment: many so small ones are put together
@@ -63,7 +63,7 @@
     none; `unsettled`: that one, or what deleted the key, lies in the segment that is written to, whose end
     may yet be lost: then the older one is what the key had before; `others_first`: the first number in any
     segment that is not merged, none where there is no other."""
-    if 0 < record.expires <= now:
+    if expired(record.expires, now):
         return False
     if unsettled:
         return True
--- a/notchflow/store/engine.py
+++ b/notchflow/store/engine.py
@@ -12,13 +12,13 @@
 from collections.abc import Callable, Generator, Iterator, Sequence
 from dataclasses import dataclass
 from enum import Enum
-from typing import Final, NamedTuple, TypeAlias
+from typing import Final, NamedTuple, NoReturn, TypeAlias
 
 import numpy as np
 
 from notchflow.store import hints, manifest
 from notchflow.store.compaction import Extent, outlives, plan
-from notchflow.store.files import File, Files
+from notchflow.store.files import File, Files, discard, size_of
 from notchflow.store.frames import (
     BATCH_HEADER,
     BATCH_MAX,
@@ -35,7 +35,9 @@
     decode_segment_header,
     encode_fields,
     encode_segment_header,
+    expired,
     join_batch,
+    later,
     next_batch,
 )
 from notchflow.store.index import Index, Lines, digest
@@ -128,10 +130,10 @@
 def read_batches(file: File, start: int, end: int) -> Iterator[Batch]:
     """The batches between two offsets, one in memory at a time. FrameError."""
     while start < end:
-        length = batch_length(file.read(start, min(BATCH_HEADER, end - start)), start)
-        if start + length > end:
-            raise FrameError(start, f"a batch of {length} bytes is cut off")
-        batch = decode_batch(file.read(start, length), 0, start)
+        size = batch_length(file.read(start, min(BATCH_HEADER, end - start)), start)
+        if start + size > end:
+            raise FrameError(start, f"a batch of {size} bytes is cut off")
+        batch = decode_batch(file.read(start, size), 0, start)
         yield batch
         start = batch.end
 
@@ -185,12 +187,7 @@
             number = manifest.segment_of(name)
             if number is None:
                 continue
-            file = self.files.open(name)
-            try:
-                size = file.size()
-            finally:
-                file.close()
-            if number != 1 or size > SEGMENT_HEADER:
+            if number != 1 or size_of(self.files, name) > SEGMENT_HEADER:
                 raise Damaged(name, 0, "there are segments, but no manifest")
             self.files.remove(name)
         segment = self._create(1)
@@ -348,7 +345,7 @@
         except OSError as error:
             self._break(error)
 
-    def _undo(self, segment: Segment, error: OSError) -> None:
+    def _undo(self, segment: Segment, error: OSError) -> NoReturn:
         """A write that failed is taken back: nothing of it was synced."""
         try:
             segment.file.truncate(segment.end)
@@ -361,7 +358,7 @@
             raise Full(f"the store's disk is full: {error}") from error
         self._break(error)
 
-    def _break(self, error: OSError) -> None:
+    def _break(self, error: OSError) -> NoReturn:
         self.state = State.BROKEN
         log.critical("the store's disk failed, it takes nothing more until a restart: %s", error)
         raise Broken(f"the store's disk failed: {error}") from error
@@ -397,9 +394,14 @@
         self._publish()
         for segment in self.segments.values():
             segment.held = 0
-        hints.save(self.files, old.number, old.end, self.deletes.joined(self.index.lines_of(old.number)))
+        self._save_hint(old)
         self.deletes, self.hidden = hints.Columns(), set()
 
+    def _save_hint(self, segment: Segment) -> None:
+        """Of the segment that was written to until now."""
+        lines = self.deletes.joined(self.index.lines_of(segment.number))
+        hints.save(self.files, segment.number, segment.end, lines)
+
     def _publish(self) -> None:
         """A manifest that may hold after a crash or not: neither may be written beyond."""
         try:
@@ -411,7 +413,7 @@
     def read(self, key: bytes) -> Record | None:
         """The newest record of a key, if it has not expired. Damaged, OSError."""
         entry = self.index.get(key)
-        if entry is None or 0 < entry.expires <= self.now():
+        if entry is None or expired(entry.expires, self.now()):
             return None
         segment = self.segments.get(entry.segment) or self.retired[entry.segment]
         try:
@@ -428,7 +430,7 @@
                     for placed in batch.records:
                         entry = self.index.get(placed.record.key)
                         if (entry is not None and entry.number == placed.record.number
-                                and not 0 < entry.expires <= self.now()):
+                                and not expired(entry.expires, self.now())):
                             yield placed.record
             except FrameError as error:
                 raise Damaged(log_name(segment.number), error.offset, error.what) from None
@@ -457,7 +459,6 @@
                 log.warning("no room to compact: %s", error)
                 return False
             self._break(error)
-            return False
 
     def compact(self) -> None:
         """All that is worth it, at once."""
@@ -504,8 +505,7 @@
 
     def _remove(self, number: int) -> None:
         for name in (log_name(number), manifest.hint_name(number)):
-            if name in self.files.names():
-                self.files.remove(name)
+            discard(self.files, name)
 
     def _copy(self, inputs: Sequence[Segment], out: Segment, columns: hints.Columns) -> Iterator[None]:
         kept: list[Record] = []
@@ -582,9 +582,7 @@
         try:
             if self.state in (State.OPEN, State.FULL):
                 self.now()
-                last = self.active
-                lines = self.deletes.joined(self.index.lines_of(last.number))
-                hints.save(self.files, last.number, last.end, lines)
+                self._save_hint(self.active)
                 manifest.replace(self.files, self._manifest(clean=True))
         finally:
             self.state = State.CLOSED
@@ -597,11 +595,6 @@
         self.segments, self.retired = {}, {}
 
 
-def later(one: int, other: int) -> int:
-    """The later of two expiries, of which 0 is never."""
-    return 0 if one == 0 or other == 0 else max(one, other)
-
-
 def _encode(records: Sequence[Fields], time: int, at: int) -> tuple[bytes, list[tuple[int, int]]]:
     """Batches of no more than is allowed, and where each record lies, if they are written at an offset."""
     batches: list[bytes] = []
--- a/notchflow/store/files.py
+++ b/notchflow/store/files.py
@@ -59,6 +59,42 @@
     def unlock(self) -> None: ...
 
 
+def whole(files: Files, name: str) -> bytes:
+    """All of a file; FileNotFoundError."""
+    file = files.open(name)
+    try:
+        return file.read(0, file.size())
+    finally:
+        file.close()
+
+
+def size_of(files: Files, name: str) -> int:
+    """Bytes of a file; FileNotFoundError."""
+    file = files.open(name)
+    try:
+        return file.size()
+    finally:
+        file.close()
+
+
+def discard(files: Files, name: str) -> None:
+    """Removes a file where there is one."""
+    if name in files.names():
+        files.remove(name)
+
+
+def write_anew(files: Files, name: str, data: bytes, sync: bool) -> None:
+    """A file of these bytes instead of whatever has the name."""
+    discard(files, name)
+    file = files.create(name)
+    try:
+        file.append(data)
+        if sync:
+            file.sync()
+    finally:
+        file.close()
+
+
 class RealFile:
     """A file by its descriptor."""
 
--- a/notchflow/store/frames.py
+++ b/notchflow/store/frames.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import IntEnum
 from itertools import accumulate
@@ -68,9 +68,19 @@
 def check_sizes(key: bytes, value: bytes) -> None:
     """ValueError for what no record can hold."""
     if not 0 < len(key) <= KEY_MAX:
-        raise ValueError(f"key: 1 to {KEY_MAX} bytes, not {len(key)}")
+        raise ValueError(f"a key of {len(key)} bytes; 1 to {KEY_MAX} can be held")
     if len(value) > VALUE_MAX:
-        raise ValueError(f"value: at most {VALUE_MAX} bytes, not {len(value)}")
+        raise ValueError(f"a value of {len(value)} bytes; at most {VALUE_MAX} can be held")
+
+
+def expired(expires: int, now: int) -> bool:
+    """Whether nobody needs it any more; an expiry of 0 is never."""
+    return 0 < expires <= now
+
+
+def later(one: int, other: int) -> int:
+    """The later of two expiries."""
+    return 0 if one == 0 or other == 0 else max(one, other)
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,15 +170,12 @@
 
 def decode_batch(data: bytes, start: int, at: int) -> Batch:
     """The batch that begins at `start` of the bytes, which is `at` in the segment. FrameError."""
-    if len(data) - start < BATCH_HEADER:
-        raise FrameError(at, "a batch's header is cut off")
+    size = batch_length(data[start:start + BATCH_HEADER], at)
     (told,) = _CRC.unpack_from(data, start)
-    magic, length, first, count, time = _BATCH.unpack_from(data, start + _CRC.size)
-    if magic != BATCH_MAGIC:
-        raise FrameError(at, "no batch begins here")
-    end = start + BATCH_HEADER + length
-    if length > BATCH_MAX or end > len(data):
-        raise FrameError(at, f"a batch of {length} bytes is cut off")
+    _, _, first, count, time = _BATCH.unpack_from(data, start + _CRC.size)
+    end = start + size
+    if end > len(data):
+        raise FrameError(at, f"a batch of {size} bytes is cut off")
     if crc(data[start + _CRC.size:end]) != told:
         raise FrameError(at, "a batch's checksum differs")
     records, place = [], start + BATCH_HEADER
@@ -202,14 +209,6 @@
     return int(first)
 
 
-def batches(data: bytes, start: int = SEGMENT_HEADER) -> Iterator[Batch]:
-    """All batches from an offset on, up to the end of the data. FrameError at the first that is not whole."""
-    while start < len(data):
-        batch = decode_batch(data, start, start)
-        yield batch
-        start = batch.end
-
-
 def next_batch(data: bytes, start: int) -> Batch | None:
     """The first whole batch that begins at or after an offset: what a bad place hides behind it."""
     while True:
--- a/notchflow/store/hints.py
+++ b/notchflow/store/hints.py
@@ -5,13 +5,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import struct
 from array import array
 from typing import Final
 
 import numpy as np
 
-from notchflow.store.files import Files
+from notchflow.store.files import Files, whole, write_anew
 from notchflow.store.frames import Kind, Placed, crc
 from notchflow.store.index import LENGTH, Lines, digest, pack
 from notchflow.store.manifest import hint_name
@@ -32,12 +33,11 @@
         """A delete's line has the length 0: it hides what is older, and is no entry itself."""
         record = placed.record
         low, high = digest(record.key)
-        place, meta = pack(segment, placed.offset, placed.length, record.expires)
         if record.kind is Kind.DELETE:
-            meta -= placed.length
-            self.graves += placed.length
-        for column, word in zip(self.words, (low, high, record.number, place, meta), strict=True):
-            column.append(word)
+            self.add_delete(low, high, record.number, segment, placed.offset, placed.length, record.expires)
+        else:
+            place, meta = pack(segment, placed.offset, placed.length, record.expires)
+            self.extend((low, high, record.number, place, meta))
 
     @classmethod
     def of(cls, lines: Lines, graves: int) -> Columns:
@@ -104,25 +104,13 @@
 
 def load(files: Files, segment: int, length: int) -> tuple[Lines, int] | None:
     try:
-        file = files.open(hint_name(segment))
+        data = whole(files, hint_name(segment))
     except FileNotFoundError:
         return None
-    try:
-        return decode(file.read(0, file.size()), segment, length)
-    finally:
-        file.close()
+    return decode(data, segment, length)
 
 
 def save(files: Files, segment: int, length: int, columns: Columns) -> None:
     """Leaves a whole hint or none that is taken for one; a disk that is full costs a slower start alone."""
-    name = hint_name(segment)
-    try:
-        if name in files.names():
-            files.remove(name)
-        file = files.create(name)
-        try:
-            file.append(encode(segment, length, columns))
-        finally:
-            file.close()
-    except OSError:
-        return
+    with contextlib.suppress(OSError):
+        write_anew(files, hint_name(segment), encode(segment, length, columns), sync=False)
--- a/notchflow/store/index.py
+++ b/notchflow/store/index.py
@@ -12,7 +12,6 @@
 import struct
 import threading
 from array import array
-from collections.abc import Iterator
 from typing import Any, Final, NamedTuple
 
 import numpy as np
@@ -251,8 +250,9 @@
         shard = self.shards[self.swept]
         self.swept = (self.swept + 1) % SHARDS
         with shard.lock:
-            expires = shard.columns()[4] >> np.uint64(LENGTH_BITS)
-            over = np.flatnonzero((expires > 0) & (expires <= np.uint64(now)) & (shard.columns()[0] != 0))
+            columns = shard.columns()
+            expires = columns[4] >> np.uint64(LENGTH_BITS)
+            over = np.flatnonzero((expires > 0) & (expires <= np.uint64(now)) & (columns[0] != 0))
             dead = [(shard.low[int(slot)], shard.high[int(slot)]) for slot in over]
             for low, high in dead:  # by key: each drop moves others
                 slot = shard.find(low, high)
@@ -285,11 +285,3 @@
                 size *= 2
             with shard.lock:
                 shard.rebuild(mine, size)
-
-    def entries(self) -> Iterator[tuple[int, int, Entry]]:
-        """Digest and entry of every key, shard by shard."""
-        for shard in self.shards:
-            with shard.lock:
-                lines = shard.lines()
-            for low, high, number, place, meta in zip(*(c.tolist() for c in lines), strict=True):
-                yield low, high, unpack(number, place, meta)
--- a/notchflow/store/manifest.py
+++ b/notchflow/store/manifest.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from notchflow.store.files import Files
+from notchflow.store.files import Files, whole, write_anew
 from notchflow.store.frames import crc
 
 NAME: Final = "manifest"
@@ -60,23 +60,12 @@
     """None where there is no store yet."""
     if NAME not in files.names():
         return None
-    file = files.open(NAME)
-    try:
-        return decode(file.read(0, file.size()))
-    finally:
-        file.close()
+    return decode(whole(files, NAME))
 
 
 def draft(files: Files, manifest: Manifest) -> None:
     """Writes it beside the one in force. OSError: that one stays."""
-    if DRAFT in files.names():
-        files.remove(DRAFT)
-    file = files.create(DRAFT)
-    try:
-        file.append(manifest.encode())
-        file.sync()
-    finally:
-        file.close()
+    write_anew(files, DRAFT, manifest.encode(), sync=True)
 
 
 def publish(files: Files) -> None:
--- a/notchflow/store/tools.py
+++ b/notchflow/store/tools.py
@@ -8,13 +8,16 @@
 
 from notchflow.store import manifest
 from notchflow.store.engine import Engine, read_batches
-from notchflow.store.files import File, Files
+from notchflow.store.files import File, Files, discard, size_of, write_anew
 from notchflow.store.frames import (
     SEGMENT_HEADER,
+    Batch,
     FrameError,
+    Kind,
     Record,
     decode_segment_header,
     encode_segment_header,
+    expired,
     next_batch,
 )
 from notchflow.store.manifest import Manifest, ManifestError, hint_name, log_name
@@ -89,38 +92,42 @@
         decode_segment_header(file.read(0, SEGMENT_HEADER), number)
     except FrameError as error:
         damages.append(Damage(name, error.offset, SEGMENT_HEADER, error.what, False))
-    batches = records = first = last = 0
-    for found in _pieces(file, size if sealed is None else min(sealed, size)):
-        if isinstance(found, Record):
-            records += 1
-            first, last = first or found.number, max(last, found.number)
-        elif isinstance(found, int):
+    batches, numbers = 0, list[int]()
+    for piece in _pieces(file, size if sealed is None else min(sealed, size)):
+        if isinstance(piece, Batch):
             batches += 1
+            numbers += (placed.record.number for placed in piece.records)
         else:
-            offset, until, what = found
-            torn = sealed is None and until == size
-            damages.append(Damage(name, offset, until, what, torn))
+            torn = sealed is None and piece.until == size
+            damages.append(Damage(name, piece.offset, piece.until, piece.what, torn))
     if sealed is not None and size < sealed:
         damages.append(Damage(name, size, sealed, f"the file ends here, the manifest says {sealed}", False))
-    return Extent(name, size, batches, records, first, last), damages
+    return Extent(name, size, batches, len(numbers), next(iter(numbers), 0), max(numbers, default=0)), damages
 
 
-def _pieces(file: File, end: int) -> Iterator[Record | int | tuple[int, int, str]]:
-    """Records, the offset of each batch, and bad ranges with the reason, in order."""
+@dataclass(frozen=True, slots=True)
+class _Gap:
+    """A range in which nothing can be read, and why."""
+
+    offset: int
+    until: int
+    what: str
+
+
+def _pieces(file: File, end: int) -> Iterator[Batch | _Gap]:
+    """Batches, and what lies between them, in order."""
     start = SEGMENT_HEADER
     while start < end:
         try:
             for batch in read_batches(file, start, end):
-                yield batch.offset
-                yield from (placed.record for placed in batch.records)
+                yield batch
                 start = batch.end
             return
         except FrameError as error:
             begun = max(error.offset, start)
-            rest = file.read(begun, end - begun)
-            good = next_batch(rest, 1)
+            good = next_batch(file.read(begun, end - begun), 1)
             start = begun + good.offset if good is not None else end
-            yield begun, start, error.what
+            yield _Gap(begun, start, error.what)
 
 
 def records(files: Files, clock: Callable[[], int], every: bool) -> Iterator[Record]:
@@ -134,8 +141,8 @@
             newest[record.key] = max(newest.get(record.key, 0), record.number)
     now = max(found.clock, clock())
     for record in _all(files, found):
-        if every or (newest[record.key] == record.number and record.kind.name == "PUT"
-                     and not 0 < record.expires <= now):
+        if every or (newest[record.key] == record.number and record.kind is Kind.PUT
+                     and not expired(record.expires, now)):
             yield record
 
 
@@ -144,8 +151,8 @@
         file = files.open(log_name(number))
         try:
             for piece in _pieces(file, found.sealed.get(number, file.size())):
-                if isinstance(piece, Record):
-                    yield piece
+                if isinstance(piece, Batch):
+                    yield from (placed.record for placed in piece.records)
         finally:
             file.close()
 
@@ -163,15 +170,7 @@
 
 
 def _size(files: Files) -> int:
-    total = 0
-    for name in files.names():
-        if manifest.segment_of(name) is not None:
-            file = files.open(name)
-            try:
-                total += file.size()
-            finally:
-                file.close()
-    return total
+    return sum(size_of(files, name) for name in files.names() if manifest.segment_of(name) is not None)
 
 
 def repair(files: Files) -> tuple[Damage, ...]:
@@ -187,10 +186,10 @@
         for name in dict.fromkeys(d.name for d in damages):
             number = manifest.segment_of(name)
             assert number is not None
-            length = _rewrite(files, number, sealed.get(number), following)
+            end = _rewrite(files, number, sealed.get(number), following)
             segments[segments.index(number)] = following
             if sealed.pop(number, None) is not None or number != found.segments[-1]:
-                sealed[following] = length
+                sealed[following] = end
             following += 1
             aside.append(name)
         if aside:
@@ -213,22 +212,13 @@
         try:
             first = _first(old, number)
             end = old.size() if sealed is None else min(sealed, old.size())
-            offsets = [p for p in _pieces(old, end) if isinstance(p, int)]
-            for offset in offsets:
-                batch = next(read_batches(old, offset, end))
-                kept.append(old.read(offset, batch.end - offset))
+            kept = [old.read(batch.offset, batch.end - batch.offset)
+                    for batch in _pieces(old, end) if isinstance(batch, Batch)]
         finally:
             old.close()
-    for name in (log_name(to), hint_name(to)):
-        if name in files.names():
-            files.remove(name)
-    file = files.create(log_name(to))
-    try:
-        data = encode_segment_header(to, first) + b"".join(kept)
-        file.append(data)
-        file.sync()
-    finally:
-        file.close()
+    data = encode_segment_header(to, first) + b"".join(kept)
+    discard(files, hint_name(to))
+    write_anew(files, log_name(to), data, sync=True)
     files.sync_folder()
     return len(data)
 
--- a/tests/store/world.py
+++ b/tests/store/world.py
@@ -4,18 +4,14 @@
 
 import random
 
-from notchflow.store.engine import Broken, Change, Engine, Full, Options, later
-from notchflow.store.frames import Kind
+from notchflow.store.engine import Broken, Change, Engine, Full, Options
+from notchflow.store.frames import Kind, later
 from standins.faulty_files import FaultyFiles
 
 SMALL = Options(segment_max=4096)
 Model = dict[bytes, tuple[bytes, int]]
 
 
-def clock_at(now: list[int]) -> object:
-    return lambda: now[0]
-
-
 def opened(files: FaultyFiles, now: int = 1000) -> Engine:
     engine = Engine(files, lambda: now, SMALL)
     engine.open()
