Effects and emulator: state that stood twice is derived; one hosted proxy for two benchmarks

Found on reading the change again: the keeper held a copy of the classes' deadlines that the host has, and a flag for whose key is in hand beside the thing in hand itself; the service held the keeper twice. In the emulator each proxy built the settings anew for its classes, and members, a delivery and a sum were written and never read. benchmarks/effects.py started its proxies with the lines of benchmarks/tenancy.py; the kinds benchmark split the traffic twice. Behaviour is as before; assertions are unchanged.

--- a/benchmarks/effects.py
+++ b/benchmarks/effects.py
@@ -10,20 +10,15 @@
 
 import argparse
 import itertools
-import subprocess
 import sys
-import tempfile
-from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
-from pathlib import Path
+from contextlib import ExitStack
 
 import uvloop
 
-from benchmarks.rig import ROOT, boxes, wait_ready
-from benchmarks.tenancy import fill, paced
+from benchmarks.rig import ROOT, boxes
+from benchmarks.tenancy import hosted, paced
 from standins.box import Work
 from standins.load import Draw, Tally
-from standins.ports import free_ports
 
 RATE = 120.0
 OTHERS_MAX_MS = 0.25  # more in the middle than without, for classes that pay nothing
@@ -70,26 +65,8 @@
 method = "POST"
 path = "/orders/{{day}}/pay"
 class = "pay"
-{effects}
 """
-
-
-@contextmanager
-def hosted(discovery: str, effects: str) -> Iterator[tuple[int, str]]:
-    """A hosted proxy: its port, and its tenant's key. Its state is on the disk of this checkout."""
-    port, admin = free_ports(2)
-    with tempfile.TemporaryDirectory(dir=ROOT) as folder:
-        file = Path(folder) / "hosted.toml"
-        file.write_text(CONFIG.format(port=port, admin=admin, discovery=discovery, effects=effects))
-        tokens = fill(Path(folder) / "state", ["only-one"], None)
-        process = subprocess.Popen([sys.executable, "-m", "notchflow", "serve", str(file)], cwd=ROOT,
-                                   stderr=subprocess.DEVNULL)
-        try:
-            wait_ready(port, process)
-            yield port, tokens["only-one"]
-        finally:
-            process.kill()
-            process.wait()
+EFFECTS = "[effects]\nunsafe_s = 3600.0\n"
 
 
 def draw(kind: str, token: str, mark: str) -> Draw:
@@ -117,13 +94,13 @@
     lost = 0
     with ExitStack() as stack:
         discovery, _ = stack.enter_context(boxes(3, Work(0.002, 8)))
-        section = "[effects]\nunsafe_s = 3600.0"
-        proxies = {name: stack.enter_context(hosted(discovery, text))
-                   for name, text in (("with", section), ("without", ""), ("without_again", ""))}
+        proxies = {  # their state is on the disk of this checkout
+            name: stack.enter_context(hosted(discovery, ["only-one"], config=CONFIG + more, within=ROOT))
+            for name, more in (("with", EFFECTS), ("without", ""), ("without_again", ""))}
         for round_ in range(rounds):
-            for name, (port, token) in proxies.items():
+            for name, (port, _, tokens) in proxies.items():
                 for kind in KINDS:
-                    asked = draw(kind, token, f"{round_}-{name}-{kind}")
+                    asked = draw(kind, tokens["only-one"], f"{round_}-{name}-{kind}")
                     tally: Tally
                     tally, = uvloop.run(paced(port, (RATE, asked), seconds=seconds))
                     lost += tally.lost + tally.asked(kind) - tally.served
--- a/benchmarks/kinds.py
+++ b/benchmarks/kinds.py
@@ -16,6 +16,7 @@
 import random
 import statistics
 import sys
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from notchflow.policy.kinds import Beliefs, Steps
@@ -50,33 +51,37 @@
     return (1 + queued) / kind.speed
 
 
+def shares_of(kinds: dict[str, Kind], weights: Mapping[str, float]) -> dict[str, float]:
+    """Each kind's part of the traffic."""
+    mass = sum(weights.get(n, 1.0) * k.part for n, k in kinds.items())
+    return {n: weights.get(n, 1.0) * k.part / mass for n, k in kinds.items()}
+
+
+def waits(kinds: dict[str, Kind], shares: Mapping[str, float], load: float) -> dict[str, float]:
+    """Mean time of each kind's answers."""
+    total = sum(k.capacity * k.part for k in kinds.values())
+    return {n: wait(k, load * total * shares[n] / (k.capacity * k.part)) for n, k in kinds.items()}
+
+
 def mean_wait(kinds: dict[str, Kind], ratio: float, load: float) -> float:
     """Mean time of an answer where kind x has so many times the weight of kind y."""
-    weights = {"x": ratio, "y": 1.0}
-    mass = sum(weights[n] * k.part for n, k in kinds.items())
-    total = sum(k.capacity * k.part for k in kinds.values())
-    shares = {n: weights[n] * k.part / mass for n, k in kinds.items()}
-    return sum(shares[n] * wait(k, load * total * shares[n] / (k.capacity * k.part))
-               for n, k in kinds.items())
+    shares = shares_of(kinds, {"x": ratio, "y": 1.0})
+    return sum(shares[n] * mean for n, mean in waits(kinds, shares, load).items())
 
 
 def play(estimator: Steps | Beliefs, kinds: dict[str, Kind], rate: float, load: float,
          seed: int) -> tuple[float, float]:
     """The second from which on the kinds are known, and the share of homes moved."""
     rng = random.Random(seed)
-    total = sum(k.capacity * k.part for k in kinds.values())
     best = min(mean_wait(kinds, math.exp(step / 20), load) for step in range(-60, 61))
     usual, moved, near = 1.0, 0.0, 0.0
     known = float(RUN_S)
     before = {name: k.part for name, k in kinds.items()}
     for second in range(RUN_S):
-        weights = {name: estimator.weights.get(name, 1.0) for name in kinds}
-        mass = sum(weights[name] * k.part for name, k in kinds.items())
-        shares = {name: weights[name] * k.part / mass for name, k in kinds.items()}
+        shares = shares_of(kinds, estimator.weights)
         moved += sum(abs(shares[n] - before[n]) for n in kinds) / 2
         before = shares
-        means = {name: wait(k, load * total * shares[name] / (k.capacity * k.part))
-                 for name, k in kinds.items()}
+        means = waits(kinds, shares, load)
         for _ in range(round(rate)):
             name = "x" if rng.random() < shares["x"] else "y"
             took = rng.expovariate(1 / means[name])
--- a/benchmarks/tenancy.py
+++ b/benchmarks/tenancy.py
@@ -94,13 +94,14 @@
 
 
 @contextmanager
-def hosted(discovery: str, names: list[str],
-           limits: Limits | None = None) -> Iterator[tuple[int, subprocess.Popen[bytes], dict[str, str]]]:
-    """A hosted proxy with tenants: its port, its process, their keys."""
+def hosted(discovery: str, names: list[str], limits: Limits | None = None, config: str = CONFIG,
+           within: Path | None = None) -> Iterator[tuple[int, subprocess.Popen[bytes], dict[str, str]]]:
+    """A hosted proxy with tenants: its port, its process, their keys. `within`: where its file and state are,
+    if not among the temporary files."""
     port, admin = free_ports(2)
-    with tempfile.TemporaryDirectory() as folder:
+    with tempfile.TemporaryDirectory(dir=within) as folder:
         file = Path(folder) / "hosted.toml"
-        file.write_text(CONFIG.format(port=port, admin=admin, discovery=discovery))
+        file.write_text(config.format(port=port, admin=admin, discovery=discovery))
         tokens = fill(Path(folder) / "state", names, limits)
         process = subprocess.Popen([sys.executable, "-m", "notchflow", "serve", str(file)], cwd=ROOT,
                                    stderr=subprocess.DEVNULL)
--- a/notchflow/effects/keeper.py
+++ b/notchflow/effects/keeper.py
@@ -40,8 +40,10 @@
 Go = Callable[[float | None], None]
 
 
-class Timers(Protocol):
-    """The host's time, as far as the keeper needs it."""
+class Hosted(Protocol):
+    """The host's time and classes, as far as the keeper needs them."""
+
+    classes: dict[str, float]  # deadlines, milliseconds
 
     def at(self, due: float, call: Callable[..., None], argument: Any = None) -> Handle: ...
 
@@ -63,7 +65,7 @@
 class Guard:
     """One request under the memory's rules, from the door to its end."""
 
-    __slots__ = ("keeper", "key", "rule", "call", "go", "timer", "over", "busy", "owns")
+    __slots__ = ("keeper", "key", "rule", "call", "go", "timer", "over", "busy", "held")
 
     def __init__(self, keeper: Keeper, key: bytes, rule: Rule, call: Call, busy: Reply, go: Go) -> None:
         self.keeper, self.key, self.rule = keeper, key, rule
@@ -71,7 +73,7 @@
         self.busy, self.go = busy, go
         self.timer: Handle | None = None
         self.over = False  # answered or left while it waited for the store
-        self.owns = False  # the key is in hand for this request
+        self.held: Held | None = None  # what is in hand under the key, if it is for this request
 
     def ended(self, status: int, ran: bool) -> None:
         """The request is over for its client. `ran`: an attempt may have run, or may yet."""
@@ -87,12 +89,11 @@
 class Keeper:
     """The memory, its store, and those who wait."""
 
-    def __init__(self, committer: Committer, timers: Timers, cancel: Callable[[Handle], None],
+    def __init__(self, committer: Committer, host: Hosted, cancel: Callable[[Handle], None],
                  boot: int | None = None, clock: Callable[[], int] = boot_ms) -> None:
-        self.committer, self.timers, self.cancel, self.clock = committer, timers, cancel, clock
+        self.committer, self.host, self.cancel, self.clock = committer, host, cancel, clock
         self.memory = Memory(this_boot() if boot is None else boot)
         self.rules: dict[str, Rule] = {}  # by class; others are not remembered
-        self.deadlines: dict[str, float] = {}  # milliseconds
         self.refused = 0  # as the store could not take or give what was asked
 
     def guard(self, call: Call, cls: str, key: bytes, busy: Reply, go: Go) -> Guard | None:
@@ -103,11 +104,11 @@
     def begin(self, guard: Guard, call: Call, cls: str) -> Reply | None:
         """What the client is told at once; none where it is told later, or the request is sent."""
         known, print_ = self.committer.known(guard.key), fingerprint(call.method, call.url, call.body)
-        deadline = call.arrived_at + self.deadlines[cls]
+        deadline = call.arrived_at + self.host.classes[cls]
         verdict = self.memory.ask(guard.key, print_, guard.rule, self.clock(), known)
         answer = self._act(guard, verdict)
         if answer is None and not guard.over and self._waits(guard):
-            guard.timer = self.timers.at(deadline, self._too_late, guard)
+            guard.timer = self.host.at(deadline, self._too_late, guard)
         return answer
 
     def _waits(self, guard: Guard) -> bool:
@@ -122,7 +123,7 @@
         if isinstance(verdict, Look):
             self.committer.read(guard.key, partial(self._found, guard))
             return None
-        guard.owns = True
+        guard.held = self.memory.hand[guard.key]
         try:
             done = partial(self._durable, guard, verdict) if verdict.wait else _ignore
             self.committer.submit([self._put(guard, verdict.effect)], done)
@@ -136,11 +137,10 @@
         """What cannot be remembered is not sent."""
         log.debug("an intent is not written: %s", error)
         self.refused += 1
-        guard.owns = False
+        held, guard.held = guard.held, None
         if verdict.wait:
             self.memory.not_durable(guard.key)
-        else:
-            held = self.memory.hand[guard.key]
+        elif held is not None:
             self.memory.ended(guard.key, End.NEVER_RAN)
             self.memory.closed(guard.key, held)
         return guard.busy
@@ -207,8 +207,7 @@
     # -- the request ends
     def ended(self, guard: Guard, status: int, ran: bool) -> None:
         self._stop_timer(guard)
-        held = self.memory.hand.get(guard.key)
-        if not guard.owns or held is None or held.phase is not Phase.OUT:
+        if guard.held is None or guard.held.phase is not Phase.OUT:
             return  # it waits for the store still, or was answered without being sent
         end = End.SERVED if status == 200 else End.FAILED if ran else End.NEVER_RAN
         self._close(guard, end, status)
--- a/notchflow/emulator/box.py
+++ b/notchflow/emulator/box.py
@@ -89,6 +89,10 @@
         self.fell_at: float | None = None
         self.arrivals = self.rejected = self.hits = self.misses = 0
 
+    @property
+    def answers(self) -> bool:
+        return self.state is Up.SERVING or self.state is Up.DRAINING
+
     def warmth(self, now: float) -> float:
         age = now - self.started
         if self.started <= 0 or age >= self.rules.cold_ms:
@@ -113,10 +117,10 @@
         self.arrivals += 1
         self._push(job.work)
         full = len(self.queue) >= self.kind.queue_per_core * self.kind.cores
-        if self.state is not Up.SERVING and self.state is not Up.DRAINING or full:
+        if full or not self.answers:
             self.rejected += 1
             job.over = True
-            done(Status.FULL if self.state is Up.SERVING or self.state is Up.DRAINING else Status.RESET, None)
+            done(Status.FULL if self.answers else Status.RESET, None)
             return job
         self.jobs.add(job)
         if write or key in self.held:
@@ -165,7 +169,7 @@
             return
         job.over = True
         self.jobs.discard(job)
-        if self.state is Up.SERVING or self.state is Up.DRAINING:
+        if self.answers:
             job.done(Status.OK, None if job.write else True)
 
     def give_up(self, job: Job) -> None:
--- a/notchflow/emulator/ledger.py
+++ b/notchflow/emulator/ledger.py
@@ -41,7 +41,7 @@
     def __init__(self) -> None:
         self.seconds: dict[int, Second] = {}
         self.broken: list[Broken] = []
-        self.first_tries = self.served_first = 0
+        self.first_tries = 0
         self.latencies: list[float] = []
 
     def second(self, now: float) -> Second:
--- a/notchflow/emulator/proxy.py
+++ b/notchflow/emulator/proxy.py
@@ -9,7 +9,7 @@
 from notchflow.emulator.deciders import Decider
 from notchflow.emulator.engine import Simulator
 from notchflow.emulator.ledger import Ledger
-from notchflow.emulator.spec import Day
+from notchflow.emulator.spec import CLASSES, Day
 from notchflow.interface import (
     Action,
     Cancel,
@@ -17,7 +17,6 @@
     Effect,
     Event,
     Fail,
-    Member,
     Membership,
     Outcome,
     Refuse,
@@ -73,10 +72,8 @@
                  decider: Decider) -> None:
         self.name, self.zone, self.day = name, zone, day
         self.simulator, self.place, self.ledger, self.decider = simulator, place, ledger, decider
-        self.classes = {c.name: c for c in day.settings(zone).classes}
         self.open: dict[int, Open] = {}
         self.idle: dict[int, list[float]] = {}  # connections to each box: since when each is idle
-        self.members: dict[int, Member] = {}
         self.drained: dict[int, float] = {}  # when this proxy learned that a box wants nothing new
         self.numbers = 0
         self.dead = False
@@ -88,7 +85,6 @@
         if self.dead:
             return
         for member in event.members:
-            self.members[member.node] = member
             if member.state is State.READY:
                 self.drained.pop(member.node, None)
             else:
@@ -102,7 +98,7 @@
             answer(Status.RESET, 0.0)
             return
         self.numbers += 1
-        now, of = self.simulator.now, self.classes[cls]
+        now, of = self.simulator.now, CLASSES[cls]
         request = Request(self.numbers, cls, now + of.deadline_ms, key=key, retry=retry, write=write)
         self.open[request.id] = Open(request, of, answer)
         self.simulator.at(request.deadline, self._deadline, request.id)
--- a/notchflow/emulator/world.py
+++ b/notchflow/emulator/world.py
@@ -11,7 +11,7 @@
 from notchflow.emulator.engine import Draws, Simulator, Streams
 from notchflow.emulator.ledger import Ledger
 from notchflow.emulator.proxy import Proxy
-from notchflow.emulator.spec import Day, Event
+from notchflow.emulator.spec import CLASSES, Day, Event
 from notchflow.interface import ListKind, Member, Membership, State, Status
 
 RESTART_MS = 300.0  # a proxy's start
@@ -65,10 +65,7 @@
             del self.states[box.number]
         lags = self.lags.uniform(*within, len(self.proxies)).tolist()
         for proxy, lag in zip(self.proxies, lags, strict=True):
-            self.simulator.after(lag, self._deliver, proxy, Membership(ListKind.DELTA, (member,)))
-
-    def _deliver(self, proxy: Proxy, event: Membership) -> None:
-        proxy.learn(event)
+            self.simulator.after(lag, proxy.learn, Membership(ListKind.DELTA, (member,)))
 
     # -- proxies
     def _new_proxy(self, number: int) -> Proxy:
@@ -113,7 +110,7 @@
 
     def _ask(self, cls: str, key: str, write: bool, tries: int, begun: float) -> None:
         proxy = self.proxies[min(int(np.searchsorted(self.shares, self.uniform())), len(self.proxies) - 1)]
-        now, of = self.simulator.now, self.proxies[0].classes[cls]
+        now, of = self.simulator.now, CLASSES[cls]
         second = self.ledger.second(now)
         second.offered += 1
         if not tries:
--- a/notchflow/hosting/service.py
+++ b/notchflow/hosting/service.py
@@ -198,7 +198,7 @@
             self.door = TenantDoor(self.directory, face(file), self._pressure, secrets.token_hex(4).encode())
             self.host = HostedHost(file.config(secrets.randbits(64)), loop, self.door)
             self.door.host = self.host
-            self.keeper = self._remember()
+            self._remember()
             self.bridge = Bridge(loop, self.directory, self.host)
             self.backend = Backend(self.operations, self.bridge)
             self.admin = AdminServer(create(self.backend), parse_address(file.admin.address),
@@ -210,11 +210,11 @@
             raise
         self.flushing: asyncio.TimerHandle | None = None
 
-    def _remember(self) -> Keeper | None:
+    def _remember(self) -> None:
         """The memory of effects, recovered. StoreError, ManifestError, Locked, OSError."""
         file = self.file
         if file.effects is None or file.effects_folder is None:
-            return None
+            return
         options = Options(int(file.effects.segment_mb * (1 << 20)))
         engine = Engine(RealFiles(file.effects_folder), store_clock(), options)
         committer = Committer(engine, self.loop.call_soon_threadsafe, int(file.effects.queue_mb * (1 << 20)))
@@ -223,9 +223,8 @@
         log.info("effects: %d keys recovered, %d bytes read, %d segments by hints, %d torn bytes cut off",
                  recovered.records, recovered.scanned, recovered.hinted, recovered.torn)
         keeper = Keeper(committer, self.host, self.host.timers.cancel)
-        keeper.rules, keeper.deadlines = rules(file), {c.name: c.deadline_ms for c in file.classes}
+        keeper.rules = rules(file)
         self.door.memory = self.host.keeper = keeper
-        return keeper
 
     def _pressure(self) -> float:
         return self.host.balancer.throttle.pressure()
@@ -290,9 +289,8 @@
                                 file.service.in_hand)
         self.operations.defaults = defaults(file)
         self.door.face = face(file)
-        if self.keeper is not None:
-            self.keeper.rules = rules(replace(file, effects=self.file.effects))
-            self.keeper.deadlines = {c.name: c.deadline_ms for c in file.classes}
+        if self.host.keeper is not None:
+            self.host.keeper.rules = rules(replace(file, effects=self.file.effects))
         self.admin.bounded.bounds = replace(
             self.admin.bounded.bounds, body_max=file.admin.body_max, rate_per_s=file.admin.rate_per_s,
             burst=file.admin.burst)
--- a/tests/effects/test_keeper.py
+++ b/tests/effects/test_keeper.py
@@ -40,6 +40,8 @@
 class Bench:
     """A keeper on a store in a folder that fails, with timers that the test fires."""
 
+    classes = {"pay": 1_000.0, "slot": 1_000.0}
+
     def __init__(self, files: FaultyFiles, queue_bytes: int = 1 << 20) -> None:
         self.files = files
         engine = Engine(files, lambda: 1000, SMALL)
@@ -48,7 +50,7 @@
         self.timers: dict[int, tuple[Callable[..., None], Any]] = {}
         self.now = 5_000
         self.keeper = Keeper(self.store, cast(Any, self), self._cancel, boot=7, clock=lambda: self.now)
-        self.keeper.rules, self.keeper.deadlines = RULES, {"pay": 1_000.0, "slot": 1_000.0}
+        self.keeper.rules = RULES
         self.sent: list[bytes] = []
 
     def at(self, due: float, call: Callable[..., None], argument: Any = None) -> Any:
--- a/tests/emulator/test_fleet.py
+++ b/tests/emulator/test_fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import replace
 
 import pytest
@@ -66,9 +65,8 @@
     assert worst < DAY.rules.overload_factor
 
 
-def dials(day: Day, make: Callable[[Day], tuple[Ledger, float]] = played) -> float:
-    ledger, _ = make(day)
-    total = ledger.total()
+def dials(day: Day) -> float:
+    total = played(day)[0].total()
     return total.dials / max(sum(total.attempts.values()), 1)
 
 
--- a/tests/hosting/test_effects.py
+++ b/tests/hosting/test_effects.py
@@ -21,6 +21,14 @@
     return await service.ask("alfa", client, **(PAY | {"key": key} | more))
 
 
+async def in_hand(service: Service, held: Held) -> Client:
+    """A client whose payment is at a box that does not answer."""
+    client = await service.connect()
+    client.writer.write(service.request("alfa", **PAY, key="o-1"))  # type: ignore[arg-type]
+    await until(lambda: held.requests)
+    return client
+
+
 def test_a_repeat_of_a_payment_is_told_its_fate_also_by_another_process(tmp_path: Path) -> None:
     async def test() -> None:
         async with Service(tmp_path, serve_value, service=ON) as service:
@@ -50,9 +58,7 @@
         held = Held()
         async with Service(tmp_path, held, service=ON) as service:
             await service.add("alfa")
-            client = await service.connect()
-            client.writer.write(service.request("alfa", **PAY, key="o-1"))  # type: ignore[arg-type]
-            await until(lambda: held.requests)
+            client = await in_hand(service, held)
             again = await pay(service, "o-1")
             assert again.status == 409 and b'"fate": "in-hand"' in again.body
             assert int(again.headers["retry-after"]) >= 1
@@ -71,9 +77,7 @@
         held = Held()
         async with Service(tmp_path, held, service=ON) as service:
             await service.add("alfa")
-            client = await service.connect()
-            client.writer.write(service.request("alfa", **PAY, key="o-1"))  # type: ignore[arg-type]
-            await until(lambda: held.requests)
+            await in_hand(service, held)
             await service.kill()
             await service.start()
             again = await pay(service, "o-1")
