--- a/notchflow/admin/api.py
+++ b/notchflow/admin/api.py
@@ -42,22 +42,41 @@
     async def duty(self, active: bool) -> bool: ...
 
 
+class Agreed(Protocol):
+    """Rules that a fleet agrees on, where there is one."""
+
+    thread: ThreadPoolExecutor
+
+    async def newest(self) -> None:
+        """Returns once all that was agreed before is in force here. ApiProblem."""
+
+    async def change(self, call: Callable[..., Done[T]], *args: Any) -> T: ...
+
+
 class Backend:
     """The operations on their one thread, and what they change on the running proxy."""
 
-    def __init__(self, operations: Operations, live: Live) -> None:
-        self.operations, self.live = operations, live
-        self.thread = ThreadPoolExecutor(1, "state")
+    def __init__(self, operations: Operations, live: Live, agreed: Agreed | None = None) -> None:
+        self.operations, self.live, self.agreed = operations, live, agreed
+        self.thread = agreed.thread if agreed is not None else ThreadPoolExecutor(1, "state")
 
     async def read(self, call: Callable[..., T], *args: Any) -> T:
         return await asyncio.get_running_loop().run_in_executor(self.thread, call, *args)
 
+    async def look(self, call: Callable[..., T], *args: Any) -> T:
+        """Reads what is certain to be the newest."""
+        if self.agreed is not None:
+            await self.agreed.newest()
+        return await self.read(call, *args)
+
     async def change(self, call: Callable[..., Done[T]], *args: Any) -> T:
         """A change is answered once it is on disk and in force. A caller that leaves changes nothing of
         that: what is on disk must be in force too."""
         return await asyncio.shield(asyncio.ensure_future(self._change(call, *args)))
 
     async def _change(self, call: Callable[..., Done[T]], *args: Any) -> T:
+        if self.agreed is not None:
+            return await self.agreed.change(call, *args)
         done = await self.read(call, *args)
         if done.changes:
             await self.live.apply(done.changes)
@@ -72,16 +91,23 @@
             raise ApiProblem(409, "conflict", "The process is to end; start another.")
         after = m.ProxyView.model_validate(await self.live.proxy())
         if after.phase != before.phase:
-            await self.read(self.operations.duty_changed, actor, before.phase, after.phase)
+            await self._noted(actor, before.phase, after.phase)
         return after
 
+    async def _noted(self, actor: Actor, before: str, after: str) -> None:
+        """In the log of all, as far as there is a majority: it must not keep a proxy in service."""
+        try:
+            await self.change(self.operations.duty_changed, actor, before, after)
+        except ApiProblem as error:
+            log.warning("who sent clients away, or took them again, is not in the log: %s", error)
+
 
 def _problems(*statuses: int) -> dict[int | str, dict[str, Any]]:
     shape = {"content": {PROBLEM: {"schema": {"$ref": "#/components/schemas/Problem"}}}}
     return {status: {"description": m.Problem.__doc__ or "", **shape} for status in statuses}
 
 
-ALWAYS = _problems(400, 401, 403, 404, 408, 413, 422, 429, 500)
+ALWAYS = _problems(400, 401, 403, 404, 408, 413, 422, 429, 500, 503)
 bearer = HTTPBearer(auto_error=False, description="an operator's token, or a tenant's own")
 TenantPath = Annotated[str, Path(max_length=64)]
 IdPath = Annotated[str, Path(max_length=64)]
@@ -127,7 +153,7 @@
     @app.get("/v1/tenants", tags=["tenants"])
     async def list_tenants(actor: Caller, cursor: Cursor = "", limit: Most = 100,
                            state: m.State | None = None) -> m.Page[m.TenantView]:
-        found = await backend.read(operations.tenants, actor, cursor, limit + 1, state)
+        found = await backend.look(operations.tenants, actor, cursor, limit + 1, state)
         cut = page(found, limit, lambda t: t.id)
         return m.Page(items=[m.TenantView.of(t) for t in cut["items"]], next=cut["next"])
 
@@ -141,7 +167,7 @@
 
     @app.get("/v1/tenants/{tenant}", tags=["tenants"])
     async def read_tenant(actor: Caller, tenant: TenantPath, response: Response) -> m.TenantView:
-        return tagged(response, await backend.read(operations.seen, actor, tenant))
+        return tagged(response, await backend.look(operations.seen, actor, tenant))
 
     @app.patch("/v1/tenants/{tenant}", tags=["tenants"], responses=_problems(409, 412, 428))
     async def change_tenant(actor: Caller, tenant: TenantPath, wanted: m.TenantPatch, response: Response,
@@ -158,7 +184,7 @@
 
     @app.get("/v1/tenants/{tenant}/limits", tags=["limits"])
     async def read_limits(actor: Caller, tenant: TenantPath, response: Response) -> m.LimitsView:
-        found = await backend.read(operations.seen, actor, tenant)
+        found = await backend.look(operations.seen, actor, tenant)
         response.headers["ETag"] = etag(found)
         return m.LimitsView.of(found, operations.defaults.limits)
 
@@ -178,7 +204,7 @@
     @app.get("/v1/tenants/{tenant}/keys", tags=["keys"])
     async def list_keys(actor: Caller, tenant: TenantPath, cursor: Cursor = "",
                         limit: Most = 100) -> m.Page[m.KeyView]:
-        found = await backend.read(operations.keys, actor, tenant, cursor, limit + 1)
+        found = await backend.look(operations.keys, actor, tenant, cursor, limit + 1)
         cut = page(found, limit, lambda pair: pair[0].id)
         return m.Page(items=[m.KeyView.of(*pair) for pair in cut["items"]], next=cut["next"])
 
@@ -200,7 +226,7 @@
     # -- tokens
     @app.get("/v1/tokens", tags=["tokens"])
     async def list_tokens(actor: Caller, cursor: Cursor = "", limit: Most = 100) -> m.Page[m.TokenView]:
-        found = await backend.read(operations.tokens, actor, cursor, limit + 1)
+        found = await backend.look(operations.tokens, actor, cursor, limit + 1)
         cut = page(found, limit, lambda token: token.id)
         return m.Page(items=[m.TokenView.of(t) for t in cut["items"]], next=cut["next"])
 
@@ -254,7 +280,7 @@
     async def list_events(actor: Caller, cursor: Annotated[int, Query(ge=0, le=1 << 62)] = 0,
                           limit: Most = 100, tenant: TenantId | None = None) -> m.Page[m.EventView]:
         """The audit log, oldest first."""
-        found = await backend.read(operations.events, actor, cursor, limit + 1, tenant)
+        found = await backend.look(operations.events, actor, cursor, limit + 1, tenant)
         cut = page(found, limit, lambda event: str(event.seq))
         return m.Page(items=[m.EventView.of(e) for e in cut["items"]], next=cut["next"])
 
--- a/notchflow/admin/models.py
+++ b/notchflow/admin/models.py
@@ -216,6 +216,23 @@
         description="one-way: it is heard, but does not answer; bridge: others reach it, this one does not")
 
 
+class RulesView(BaseModel):
+    """The rules as this instance has them."""
+
+    version: int = Field(description="the place in the log of the last change that holds")
+    digest: str = Field(description="equal where two instances have come by the same changes")
+    applied: int = Field(description="all up to this place is in force here")
+    agreed: int = Field(description="all up to this place is agreed, as far as is known here")
+    term: int
+    leader: str | None
+    role: Literal["follower", "asking", "candidate", "leader", "silent"]
+    joined: bool = Field(description="false: it has lost its memory, and does not count yet")
+    sealed: bool = Field(description="whether the fleet has agreed on a first state")
+    acts: bool = Field(description="whether requests are taken on these rules")
+    lease_ms: float = Field(description="for how long, without hearing anything more")
+    peers: dict[str, int] = Field(description="of a leader: up to where each of the others has the log")
+
+
 class ClusterView(BaseModel):
     """The fleet, as this instance sees it."""
 
@@ -229,6 +246,7 @@
     bounds: dict[str, float] = Field(description="how long what is wrong may last, in milliseconds")
     disagreements: list[str]
     view: str = Field(description="equal where two instances hold the same of all members")
+    rules: RulesView | None = Field(None, description="the rules that all agree on; null: each its own")
 
 
 class EventView(BaseModel):
--- a/notchflow/admin/operations.py
+++ b/notchflow/admin/operations.py
@@ -35,6 +35,8 @@
     "too-large": "The request is too large", "too-many": "Too many requests",
     "too-slow": "The request took too long", "bad-request": "The request cannot be read",
     "method-not-allowed": "The path does not have this method", "failed": "The request failed",
+    "no-majority": "The fleet cannot agree now", "refused": "Not now",
+    "unknown": "It is not known whether this holds",
 }
 
 
@@ -312,7 +314,8 @@
             return Done(None)
 
     def first_token(self) -> str | None:
-        """An operator's token, where there is none that works: else nobody could ever call."""
+        """An operator's token, where there is none that works: else nobody could ever call. Before a fleet
+        has agreed on a state, or by a process alone."""
         now = self.wall()
         if any(t.tenant is None and t.usable(now) for t in self.db.tokens()):
             return None
@@ -320,10 +323,11 @@
             return self.issue_token(Actor("service", None), m.TokenCreate(label="first")).result[1]
 
     # -- the proxy itself
-    def duty_changed(self, actor: Actor, before: str, after: str) -> None:
+    def duty_changed(self, actor: Actor, before: str, after: str) -> Done[None]:
         """Notes that an operator has sent clients away, or wants them again."""
         with self.db.change():
             self._audit(actor, f"proxy.{after}", None, "proxy", {"phase": before}, {"phase": after})
+            return Done(None)
 
     # -- the audit log
     def events(self, actor: Actor, after: int, most: int, tenant: str | None) -> list[AuditEvent]:
--- a/notchflow/cluster/edge.py
+++ b/notchflow/cluster/edge.py
@@ -43,7 +43,8 @@
 
 READS: Final = 64  # datagrams of one turn of the loop
 RECEIVE_BUFFER: Final = 1 << 20  # bytes that the kernel keeps while the loop is busy
-SERVED_MAX, ASKED_MAX = 16, 8  # exchanges at a time, of others and of our own
+SERVED_MAX, ASKED_MAX = 64, 8  # exchanges at a time, of others and of our own
+FRAMES_MAX: Final = 32  # long messages on their way at a time
 EXCHANGE_S: Final = 1.0
 LATE_MS: Final = 2.0
 SOURCES_MAX: Final = 64  # places that are told of for what they send; more are counted alone
@@ -68,7 +69,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.armed = float("inf")
         self.tasks: set[asyncio.Task[None]] = set()
-        self.serving = self.asking = 0
+        self.serving = self.asking = self.framing = 0
         self.closed = False
         # What else is said between members: by the kind of message, who takes it and what it answers.
         self.handlers: dict[type, Callable[[float, Sender, Message], Message | None]] = {}
@@ -173,8 +174,8 @@
 
     def _send(self, at: Place, to: str, body: Message) -> None:
         data = self._sealed(to, body)
-        if len(data) > DATAGRAM_MAX:  # the core's bound on news is for names of usual length
-            self.figures["too_long"] += 1
+        if len(data) > DATAGRAM_MAX:
+            self._frame(at, data)
             return
         self.figures["datagrams_out"] += 1
         self.figures["bytes_out"] += len(data)
@@ -186,6 +187,28 @@
             if error.errno not in (errno.EAGAIN, errno.ECONNREFUSED, errno.ENOBUFS):
                 log.debug("not sent: %s", error)
 
+    def _frame(self, at: Place, data: bytes) -> None:
+        """What is too long for a datagram goes by a connection of its own; it may be lost as well."""
+        if self.framing >= FRAMES_MAX or len(data) > FRAME_MAX:
+            self.figures["too_long"] += 1
+            return
+        self.framing += 1
+        self._spawn(self._send_frame(at, data))
+
+    async def _send_frame(self, at: Place, data: bytes) -> None:
+        sock = socket.socket(family(at[0]), socket.SOCK_STREAM)
+        sock.setblocking(False)
+        try:
+            async with asyncio.timeout(EXCHANGE_S):
+                await self.loop.sock_connect(sock, at)
+                await self._write(sock, data)
+                self.figures["frames_out"] += 1
+        except (OSError, TimeoutError):
+            self.figures["frames_failed"] += 1
+        finally:
+            self.framing -= 1
+            sock.close()
+
     # -- what comes in
     def _readable(self) -> None:
         for _ in range(READS):
@@ -220,11 +243,17 @@
             self._answer(self.core.received(self.now(), sender, envelope.body), source)
 
     def _handle(self, handler: Callable[[float, Sender, Message], Message | None], sender: Sender,
-                body: Message, source: Place) -> None:
+                body: Message, source: Place | None) -> None:
+        """`source`: where a datagram came from; what came over a connection is answered where its sender is
+        known to be."""
         if not self.core.heeds(sender):
             return
         answer = handler(self.now(), sender, body)
-        if answer is not None:
+        if answer is None:
+            return
+        if source is None:
+            self.send(sender.name, answer)
+        else:
             self._send(self.book.get(sender.name, source), sender.name, answer)
 
     def send(self, name: str, body: Message) -> None:
@@ -292,7 +321,12 @@
         try:
             async with asyncio.timeout(EXCHANGE_S):
                 envelope = unseal(self.secret, await self._read(sock))
-                if not self._fresh(envelope, source) or not isinstance(envelope.body, Sync):
+                if not self._fresh(envelope, source):
+                    return
+                if not isinstance(envelope.body, Sync):  # what was too long for a datagram
+                    handler = self.handlers.get(type(envelope.body))
+                    if handler is not None:
+                        self._handle(handler, Sender(envelope.name, envelope.life), envelope.body, None)
                     return
                 sender = Sender(envelope.name, envelope.life)
                 answer, actions = self.core.asked(self.now(), sender, envelope.body)
--- a/notchflow/cluster/messages.py
+++ b/notchflow/cluster/messages.py
@@ -13,6 +13,18 @@
 
 import msgspec
 
+from notchflow.cluster.agreement.wire import (
+    Append,
+    Appended,
+    Certain,
+    Offer,
+    Offered,
+    Piece,
+    Pieced,
+    Sure,
+    Vote,
+    Voted,
+)
 from notchflow.cluster.model import NAMES_MAX, Life, Name, Number, Record, Text
 
 VERSION: Final = 1
@@ -137,7 +149,8 @@
     version: Number
 
 
-Message: TypeAlias = (Ping | Ack | Ask | Nack | Gossip | Sync | Denial | Want | Grant | Counts | Counted)
+Message: TypeAlias = (Ping | Ack | Ask | Nack | Gossip | Sync | Denial | Want | Grant | Counts | Counted
+                      | Vote | Voted | Append | Appended | Piece | Pieced | Certain | Sure | Offer | Offered)
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
--- a/notchflow/emulator/agreement.py
+++ b/notchflow/emulator/agreement.py
@@ -269,7 +269,7 @@
             self.waiting.append((self.fire, (due,)))
             return
         self.armed = math.inf
-        self.session.tick(self.clock())
+        self.session.tick(max(self.clock(), due))  # a clock is a product of floats
         self.step()
 
     def arrive(self, sender: str, life: int, body: Any) -> None:
--- a/notchflow/hosting/membership.py
+++ b/notchflow/hosting/membership.py
@@ -23,9 +23,11 @@
 from notchflow.cluster.members import Members
 from notchflow.cluster.model import Life, Record, State
 from notchflow.cluster.tenure import Hold
+from notchflow.hosting.rules import FleetRules
 from notchflow.hosting.schema import ClusterModel
 from notchflow.hosting.shared_limits import TERMS, SharedLimits
 from notchflow.net.exchange import Reply
+from notchflow.state.database import Database
 from notchflow.tenancy.problems import reply
 
 log = logging.getLogger(__name__)
@@ -73,9 +75,9 @@
     """The member of one service process."""
 
     def __init__(self, model: ClusterModel, state: Path, secret: bytes, loop: asyncio.AbstractEventLoop,
-                 balancers: Callable[[int], None], longest_ms: float,
+                 balancers: Callable[[int], None], longest_ms: float, db: Database,
                  history: Path | None = None) -> None:
-        """IdentityFault, OSError: the folder."""
+        """IdentityFault, OSError: the folder. Of its log also StoreError, ManifestError, Locked."""
         self.model, self.loop, self.balancers = model, loop, balancers
         self.folder = state / FOLDER
         taken = identity.take(self.folder, model.name, int(time.time() * 1e3))
@@ -86,6 +88,8 @@
         self.edge = Edge(loop, self.core, secret, model.listen, model.addresses, self._keep, self._told)
         self.limits = SharedLimits(loop, self.edge, Random(secrets.randbits(64)), longest_ms) \
             if model.limits == "fleet" else None
+        self.rules = FleetRules(model.name, model.roster, self.edge, self.folder, db, not taken.odd,
+                                self._note) if model.rules == "fleet" else None
         self.count = Count()
         self.looking: asyncio.TimerHandle | None = None
         self.changed: list[Callable[[], None]] = []  # called where requests may be taken from now on, or not
@@ -93,6 +97,9 @@
         if taken.odd:
             self._disagreement("folder", taken.odd)
 
+    def _note(self, what: str, **more: Any) -> None:
+        self.history.note(str(self.core.tenure.life), what, **more)
+
     def _disagreement(self, kind: str, why: str) -> None:
         self.history.note(str(self.core.tenure.life), "disagree", kind=kind, why=why)
         (log.info if why == "new" else log.warning)(f"the folder of this member: {why}")
@@ -106,12 +113,16 @@
         self.edge.start()
         if self.limits is not None:
             self.limits.start()
+        if self.rules is not None:
+            self.rules.start()
         self._look()
 
     def leave(self) -> None:
         """SIGTERM: the others know at once, and ask nothing of this one any more."""
         if self.looking is not None:
             self.looking.cancel()
+        if self.rules is not None:
+            self.rules.stop()
         self.edge.leave()
 
     def close(self) -> None:
@@ -119,6 +130,8 @@
             self.looking.cancel()
         if self.limits is not None:
             self.limits.stop()
+        if self.rules is not None:
+            self.rules.close()
         self.edge.close()
         self.history.close()
 
@@ -161,7 +174,7 @@
         of the tenants' limits."""
         standing = self.core.standing(self.edge.now()).value
         fields = (b"X-Standing: %b\r\n" % standing.encode(), b"X-Instance: %b\r\n" % self.model.name.encode())
-        opened = self.limits is None or self.limits.opened()
+        opened = (self.limits is None or self.limits.opened()) and (self.rules is None or self.rules.acts())
         return Reply(200 if opened and self.core.takes() and not away else 503, fields, b"")
 
     def turned_away(self) -> Reply | None:
@@ -186,6 +199,7 @@
                  f"cluster_slept_ms {core.slept_ms:.0f}"]
         found += [f'cluster_members{{state="{word}"}} {count}' for word, count in states.items()]
         found += self.limits.lines() if self.limits is not None else []
+        found += self.rules.lines() if self.rules is not None else []
         return found + [f"cluster_{name} {count}" for name, count in sorted(self.edge.figures.items())]
 
     def bounds(self) -> dict[str, float]:
@@ -193,7 +207,8 @@
         settings, size = self.core.settings, self.core.size
         return {"contact_ms": settings.contact(size), "detection_ms": settings.detection(size),
                 "heal_ms": settings.heal(size), "one_name_ms": settings.one_name(size),
-                "lent_ms": TERMS.out_ms}
+                "lent_ms": TERMS.out_ms} | (
+                    {"rules_ms": self.rules.terms.bound_ms} if self.rules is not None else {})
 
     def show(self) -> dict[str, Any]:
         """`GET /v1/cluster`."""
@@ -202,7 +217,8 @@
                 "takes": core.takes(), "hold": core.tenure.hold.value, "balancers": self.count.value,
                 "members": [self._member(name, now) for name in core.view.roster],
                 "bounds": {name: round(value, 1) for name, value in self.bounds().items()},
-                "disagreements": sorted(core.told), "view": f"{core.view.digest:016x}"}
+                "disagreements": sorted(core.told), "view": f"{core.view.digest:016x}",
+                "rules": self.rules.show() if self.rules is not None else None}
 
     def _member(self, name: str, now: float) -> dict[str, Any]:
         core = self.core
--- a/notchflow/hosting/schema.py
+++ b/notchflow/hosting/schema.py
@@ -122,6 +122,7 @@
     probe_timeout_ms: float = Field(200.0, ge=10, le=60_000)
     suspicion_ms: float = Field(1_000.0, ge=50, le=600_000)
     limits: Literal["fleet", "instance"] = "fleet"
+    rules: Literal["fleet", "instance"] = "instance"
     history: str | None = None
 
     def core(self) -> Settings:
--- a/notchflow/hosting/service.py
+++ b/notchflow/hosting/service.py
@@ -19,13 +19,14 @@
 import uvloop
 
 from notchflow.admin.api import Backend, create
-from notchflow.admin.operations import Change, Defaults, Operations
+from notchflow.admin.operations import ApiProblem, Change, Defaults, Operations
 from notchflow.admin.server import AdminServer, Bounds
 from notchflow.cluster.identity import IdentityFault
 from notchflow.effects.keeper import Keeper
 from notchflow.effects.memory import Rule
 from notchflow.hosting.file import FileFaults, OperatorFile, load
 from notchflow.hosting.membership import Membership
+from notchflow.hosting.rules import FleetRules
 from notchflow.hosting.schema import EFFECTS, AdminModel
 from notchflow.interface import Effect, ListKind, Retune, State
 from notchflow.net.collector import settle
@@ -33,6 +34,7 @@
 from notchflow.net.host import Host
 from notchflow.net.listing import Listing, parse_address
 from notchflow.state.database import Database, StateError
+from notchflow.state.replicated import Applied
 from notchflow.store.commit import Committer
 from notchflow.store.engine import Engine, Options, StoreError
 from notchflow.store.files import Locked, RealFiles
@@ -51,6 +53,7 @@
 # administration call holds up the proxy's loop at a time.
 SWITCH_S: Final = 0.0005
 USED_EVERY_S: Final = 10.0  # keys' last use goes to disk this often, all at once
+RETIRE_S: Final = 2.0
 GONE_KEPT_MS: Final = 60_000.0  # a box that is gone is still shown for so long
 
 
@@ -221,7 +224,7 @@
             self._join()
             self._remember()
             self.bridge = Bridge(loop, self.directory, self.host)
-            self.backend = Backend(self.operations, self.bridge)
+            self.backend = Backend(self.operations, self.bridge, self._rules())
             self.admin = AdminServer(create(self.backend), parse_address(file.admin.address),
                                      bounds(file.admin))
         except BaseException:
@@ -240,13 +243,39 @@
             return
         history = self.file.path.parent / model.history if model.history else None
         member = Membership(model, self.file.state, self.file.secret, self.loop, self.host.rebalance,
-                            self.host.longest_ms, history)
+                            self.host.longest_ms, self.db, history)
         self.membership = self.host.membership = member
         member.changed.append(self._taking)
         self.directory.shared = member.limits
         self.door.ready = lambda: member.ready(self.host.duty.away)
+        if member.rules is not None:
+            member.rules.take = self._agreed
+            self.door.doubts = member.rules.refuses
         self._taking()
 
+    def _rules(self) -> FleetRules | None:
+        return self.membership.rules if self.membership is not None else None
+
+    def _agreed(self, applied: Applied, changes: list[Change]) -> None:
+        """Rules that come into force here."""
+        if applied.whole:
+            self.directory.replace([c for c in changes if isinstance(c, Tenant)],
+                                   [c for c in changes if not isinstance(c, Tenant)], time.monotonic())
+            self.admin.spawn(self._token_or_none)
+        else:
+            apply(self.directory, changes)
+
+    async def _token_or_none(self) -> None:
+        """The first token that was drawn here is void where another instance's state began the log."""
+        path = self.file.state / TOKEN_FILE
+        if path.exists():
+            try:
+                await self.backend.read(self.operations.actor, path.read_text().strip())
+            except ApiProblem:
+                path.unlink(missing_ok=True)
+                log.warning("the operator's token in %s is void: another instance's state began the fleet's; "
+                            "use its token", path)
+
     def _taking(self) -> None:
         assert self.membership is not None
         self.door.outside = self.membership.turned_away()
@@ -274,11 +303,12 @@
         """Takes over the state, then opens both listeners. OSError: an address is taken."""
         if self.membership is not None:
             self.membership.bind()
-        token = self.operations.first_token()
+        agreed = self._rules()
+        token = self.operations.first_token() if agreed is None or not agreed.state.sealed else None
         if token is not None:
             _write_secret(self.file.state / TOKEN_FILE, token)
             log.info("an operator's token is in %s", self.file.state / TOKEN_FILE)
-        for tenant in self.db.tenants(state=TenantState.RETIRING.value):
+        for tenant in self.db.tenants(state=TenantState.RETIRING.value) if agreed is None else []:
             self.operations.finish_retirement(tenant.id)  # nothing is in hand at a start
         apply(self.directory, [t for t in self.db.tenants() if t.state is not TenantState.GONE])
         apply(self.directory, self.db.live_keys())
@@ -292,8 +322,13 @@
                  ", ".join(entry.address for entry in self.file.listeners), self.file.admin.address)
 
     def _drained(self, tenant: str) -> None:
-        """Told on the proxy's loop, so the state is changed elsewhere."""
-        self.admin.spawn(lambda: self.backend.change(self.operations.finish_retirement, tenant))
+        """Told on the proxy's loop, so the state is changed elsewhere. In a fleet the first instance to have
+        nothing in hand of a tenant ends it; a little later, as the others are told of the retirement now."""
+        if self._rules() is None:
+            self.admin.spawn(lambda: self.backend.change(self.operations.finish_retirement, tenant))
+        else:
+            self.loop.call_later(RETIRE_S, lambda: self.admin.spawn(lambda: self.backend.change(
+                self.operations.finish_retirement, tenant)))
 
     def _flush(self) -> None:
         self.flushing = self.loop.call_later(USED_EVERY_S, self._flush)
--- a/notchflow/state/database.py
+++ b/notchflow/state/database.py
@@ -45,7 +45,23 @@
         status INTEGER NOT NULL, body TEXT NOT NULL, PRIMARY KEY (actor, key)) WITHOUT ROWID;
     CREATE INDEX answers_by_age ON answers (at);
     """,
+    """
+    CREATE TABLE meta (name TEXT PRIMARY KEY, value BLOB NOT NULL) WITHOUT ROWID;
+    CREATE TABLE commands (id TEXT PRIMARY KEY, at INTEGER NOT NULL) WITHOUT ROWID;
+    CREATE INDEX commands_by_at ON commands (at);
+    CREATE TABLE staged (number INTEGER PRIMARY KEY, rows BLOB NOT NULL);
+    """,
 )
+WRITES: Final = {
+    "tenant": "INSERT OR REPLACE INTO tenants VALUES (?, ?, ?, ?, ?, ?, ?, ?)",
+    "key": "INSERT INTO keys VALUES (?, ?, ?, ?, ?, ?, ?, NULL) ON CONFLICT (id) DO UPDATE SET label = "
+           "excluded.label, expires_at = excluded.expires_at, revoked_at = excluded.revoked_at",
+    "token": "INSERT OR REPLACE INTO tokens VALUES (?, ?, ?, ?, ?, ?, ?)",
+    "event": "INSERT INTO events (at, actor, action, tenant, target, before, after) "
+             "VALUES (?, ?, ?, ?, ?, ?, ?)",
+    "old-answers": "DELETE FROM answers WHERE at <= ?",
+    "answer": "INSERT OR REPLACE INTO answers VALUES (?, ?, ?, ?, ?, ?)"}
+Write = tuple[str, tuple[Any, ...]]  # which statement of WRITES, and its values: text, numbers, bytes, None
 
 
 class StateError(Exception):
@@ -96,6 +112,7 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
+        self.recorded: list[Write] | None = None  # inside a trial
         try:
             folder.mkdir(mode=0o700, parents=True, exist_ok=True)
             self.lock = os.open(folder / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
@@ -134,9 +151,31 @@
         self.db.close()
         os.close(self.lock)
 
+    @contextmanager
+    def trial(self) -> Iterator[list[Write]]:
+        """What is done inside is seen there, and taken back at the end: the writes that it takes are what is
+        wanted of it."""
+        found: list[Write] = []
+        self.recorded = found
+        self.db.execute("BEGIN IMMEDIATE")
+        try:
+            yield found
+        finally:
+            self.recorded = None
+            self.db.execute("ROLLBACK")
+
+    def write(self, kind: str, values: tuple[Any, ...]) -> None:
+        """One statement of WRITES."""
+        if self.recorded is not None:
+            self.recorded.append((kind, values))
+        self.db.execute(WRITES[kind], values)
+
     @contextmanager
     def change(self) -> Iterator[None]:
-        """One transaction: on disk when it ends, or nothing of it."""
+        """One transaction: on disk when it ends, or nothing of it. Inside a trial, a part of that."""
+        if self.recorded is not None:
+            yield
+            return
         self.db.execute("BEGIN IMMEDIATE")
         try:
             yield
@@ -160,7 +199,7 @@
     def put_tenant(self, tenant: Tenant) -> None:
         limits = json.dumps(asdict(tenant.limits)) if tenant.limits is not None else None
         routes = json.dumps([asdict(r) for r in tenant.routes]) if tenant.routes is not None else None
-        self.db.execute("INSERT OR REPLACE INTO tenants VALUES (?, ?, ?, ?, ?, ?, ?, ?)", (
+        self.write("tenant", (
             tenant.id, tenant.name, tenant.state.value, limits, routes, tenant.version, tenant.created_at,
             tenant.changed_at))
 
@@ -180,10 +219,8 @@
         return [ApiKey(*row) for row in rows]
 
     def put_key(self, key: ApiKey) -> None:
-        self.db.execute(
-            "INSERT INTO keys VALUES (?, ?, ?, ?, ?, ?, ?, NULL) ON CONFLICT (id) DO UPDATE SET "
-            "label = excluded.label, expires_at = excluded.expires_at, revoked_at = excluded.revoked_at",
-            (key.id, key.tenant, key.digest, key.label, key.created_at, key.expires_at, key.revoked_at))
+        self.write("key", (key.id, key.tenant, key.digest, key.label, key.created_at, key.expires_at,
+                           key.revoked_at))
 
     def note_used(self, used: Mapping[str, float]) -> None:
         """When keys were last used, many at once: a write for each request would be one too many.
@@ -206,16 +243,14 @@
         return [Token(*row) for row in rows]
 
     def put_token(self, token: Token) -> None:
-        self.db.execute("INSERT OR REPLACE INTO tokens VALUES (?, ?, ?, ?, ?, ?, ?)", (
+        self.write("token", (
             token.id, token.tenant, token.digest, token.label, token.created_at, token.expires_at,
             token.revoked_at))
 
     # -- the audit log
     def add_event(self, at: float, actor: str, action: str, tenant: str | None, target: str,
                   before: Mapping[str, Any] | None, after: Mapping[str, Any] | None) -> None:
-        self.db.execute("INSERT INTO events (at, actor, action, tenant, target, before, after) "
-                        "VALUES (?, ?, ?, ?, ?, ?, ?)",
-                        (at, actor, action, tenant, target, _dump(before), _dump(after)))
+        self.write("event", (at, actor, action, tenant, target, _dump(before), _dump(after)))
 
     def events(self, after: int = 0, most: int = -1, tenant: str | None = None) -> list[AuditEvent]:
         where, values = ("AND tenant = ?", (after, tenant, most)) if tenant else ("", (after, most))
@@ -232,9 +267,8 @@
         return StoredAnswer(*row) if row is not None else None
 
     def put_answer(self, actor: str, key: str, now: float, answer: StoredAnswer) -> None:
-        self.db.execute("DELETE FROM answers WHERE at <= ?", (now - KEEP_ANSWERS_S,))
-        self.db.execute("INSERT OR REPLACE INTO answers VALUES (?, ?, ?, ?, ?, ?)",
-                        (actor, key, answer.fingerprint, now, answer.status, answer.body))
+        self.write("old-answers", (now - KEEP_ANSWERS_S,))
+        self.write("answer", (actor, key, answer.fingerprint, now, answer.status, answer.body))
 
 
 TENANT_COLUMNS: Final = "id, name, state, limits, routes, version, created_at, changed_at"
--- a/notchflow/tenancy/directory.py
+++ b/notchflow/tenancy/directory.py
@@ -86,6 +86,18 @@
         elif tenant.state is TenantState.RETIRING and not entry.usage.in_hand:
             self.drained(tenant.id)
 
+    def replace(self, tenants: Iterable[Tenant], keys: Iterable[ApiKey], now: float) -> None:
+        """All tenants and all live keys anew. What a tenant that stays has in hand and has used, stays."""
+        fresh = {tenant.id: tenant for tenant in tenants}
+        for name in self.entries.keys() - fresh.keys():
+            self._forget(self.entries[name])
+        for tenant in fresh.values():
+            entry = self.entries.get(tenant.id)
+            if entry is not None and tenant.version < entry.tenant.version:
+                entry.tenant = tenant  # of another line of versions
+            self.put(tenant, now)
+        self.keys = {key.id: key for key in keys if key.revoked_at is None}
+
     def _forget(self, entry: Entry) -> None:
         del self.entries[entry.tenant.id]
         if self.shared is not None:
--- a/notchflow/tenancy/door.py
+++ b/notchflow/tenancy/door.py
@@ -114,6 +114,7 @@
         self.host: Receiver | None = None
         self.memory: Remembers | None = None
         self.outside: Reply | None = None  # what all are told while this instance may take nothing
+        self.doubts: Callable[[], Reply | None] | None = None  # whether the rules here may be acted on
         self.ready: Callable[[], Reply] | None = None  # a readiness check's answer, in place of the host's
         self.run, self.number = run, 0  # ids: 8 digits of this run of the process, 8 of the request
         self.suspended = reply(403, "tenant-suspended", "The operator has suspended this tenant.")
@@ -132,8 +133,8 @@
         if call.url == READY:
             call.reply = self.ready() if self.ready is not None else None
             return
-        if self.outside is not None:
-            call.reply = self.outside
+        call.reply = self._closed()
+        if call.reply is not None:
             return
         found = self._judge(call)
         if isinstance(found, Reply):
@@ -141,6 +142,12 @@
         else:
             call.ticket = found
 
+    def _closed(self) -> Reply | None:
+        """What all are told while nothing may be taken here."""
+        if self.outside is not None:
+            return self.outside
+        return self.doubts() if self.doubts is not None else None
+
     def _judge(self, call: Call) -> Ticket | Reply:
         host = call.fields.get(b"host")
         if host is None or HOST.fullmatch(host) is None:
@@ -190,8 +197,9 @@
         ticket, host = call.ticket, self.host
         if not isinstance(ticket, Ticket) or host is None:
             return self.nothing
-        if self.outside is not None:
-            return self.outside
+        closed = self._closed()  # a process that was stopped finds that its leave is over here
+        if closed is not None:
+            return closed
         entry = ticket.entry
         if entry.tenant.state is not TenantState.ACTIVE:  # it may have changed while the body came
             return self.suspended if entry.tenant.state is TenantState.SUSPENDED else self.retiring
