--- a/notchflow/cluster/edge.py
+++ b/notchflow/cluster/edge.py
@@ -43,7 +43,7 @@
 
 READS: Final = 64  # datagrams of one turn of the loop
 RECEIVE_BUFFER: Final = 1 << 20  # bytes that the kernel keeps while the loop is busy
-SERVED_MAX, ASKED_MAX = 64, 8  # exchanges at a time, of others and of our own
+SERVED_MAX, ASKED_MAX = 16, 8  # exchanges at a time, of others and of our own
 FRAMES_MAX: Final = 32  # long messages on their way at a time
 EXCHANGE_S: Final = 1.0
 LATE_MS: Final = 2.0
