Discovery: a watch is opened anew in time, at a moment of each proxy's own

Lines at fault: WAIT_MS and ANSWER_MARGIN_MS with the back-off in ended() leave at most 0.75 s of the 2 s for a call that all make at once.

Mend: the call asks for the longest wait, 60 s, and is made anew after 10 to 30 s drawn by each proxy, so that calls after a common silence are spread over more than the 8 s that a discovery may need for all, and half of the wait is left where a call fails. Both new tests are red without the mend.

--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import random
 
 from notchflow.interface import ListKind, Membership
 from notchflow.net.exchange import Answer, Teller
@@ -14,8 +15,12 @@
 
 log = logging.getLogger(__name__)
 
-WAIT_MS = 20_000
+WAIT_MS = 60_000  # the longest that discovery allows
 ANSWER_MARGIN_MS = 1_000.0
+# A watch that has fallen silent looks like one with nothing to tell. So each is opened anew in time, at a moment
+# of its own: a discovery that is asked takes calls in turn, and watches mostly fall silent together. What a silent
+# one misses counts as told 2 s after its wait: half of the wait is left for calls that fail.
+RENEW_MS = (10_000.0, 30_000.0)
 SPACING_MS = 100.0  # between two calls, for a discovery that answers at once; a watch goes on for 200
 LIST_MAX = 4 << 20  # bytes of one answer: some ten thousand nodes; more is a fault, and memory is scarce
 OLDER_MS = 60_000.0
@@ -26,7 +31,7 @@
 class Discovery:
     """One call at a time, answers applied in order. After a failure the module says when to ask again."""
 
-    def __init__(self, host: Teller, address: Address | None, revision: int) -> None:
+    def __init__(self, host: Teller, address: Address | None, revision: int, seed: int) -> None:
         self.host = host
         self.fixed = address is None  # nobody to ask: the list that is known is all there ever is
         self.pool = Pool(host, address or ("", 0), CONNECT_MS, IdleLimit(IDLE_MS))
@@ -35,6 +40,7 @@
         self.call: Call | None = None
         self.called_at = 0.0
         self.wanted = False
+        self.rng = random.Random(seed)
 
     def watch(self, on: bool) -> None:
         """Begins the watch, or ends it after the answer that is out."""
@@ -67,8 +73,16 @@
         self.call = call = Call(
             self, b"GET /registry/instances%b HTTP/1.1\r\nHost: discovery\r\n\r\n" % query)
         self.host.at(self.called_at + WAIT_MS + ANSWER_MARGIN_MS, call.expire)
+        self.host.at(self.called_at + self.rng.uniform(*RENEW_MS), self._renew, call)
         self.pool.send(call, self.called_at)
 
+    def _renew(self, call: Call) -> None:
+        """Opens the watch anew, unless it has told something: it may have fallen silent."""
+        if self.call is call:
+            self.call = None
+            call.drop()
+            self._call()
+
     def ended(self, listing: Listing | None, problem: str) -> None:
         """The call that was out has ended, with a list or without."""
         self.call = None
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -102,7 +102,7 @@
         self.fronts = [self.front, *(Front(self, address, door) for address in config.also_listen)]
         self.listed: dict[int, tuple[str, Address, Member]] = {}  # the list as it is now
         self.succession: Succession | None = None
-        self.discovery = Discovery(self, config.discovery, config.known.revision)
+        self.discovery = Discovery(self, config.discovery, config.known.revision, config.seed)
 
     # -- life
     def start(self) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -15,6 +15,7 @@
 import pytest
 
 from notchflow.interface import ListKind, Membership
+from notchflow.net import discovery
 from notchflow.net.config import load
 from notchflow.net.discovery import decode_listing, node_id
 from tests.rig import Peer, Rig, Seen, answer, run, serve_value, until
@@ -128,6 +129,41 @@
     run(test())
 
 
+def test_a_watch_that_fell_silent_is_opened_anew_long_before_its_wait_is_over(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a list that is held until the wait is over, when all proxies ask at once and too late."""
+    monkeypatch.setattr(discovery, "RENEW_MS", (20.0, 60.0), raising=False)
+
+    async def test() -> None:
+        async with Rig(list_on_request=True) as rig:
+            told = rig.told(Membership)
+            rig.host.discovery.watch(True)
+            seen, silent = await rig.calls.get()
+            assert int(seen.line.split("wait=")[1].split()[0]) == 60_000
+            seen, writer = await rig.calls.get()
+            assert "index=41" in seen.line and not told, "no failure: nothing is known to be wrong"
+            writer.write(rig.listing(43, False, [rig.entry(0, phase="draining")]))
+            await until(lambda: told)
+            assert [m.kind for m in told] == [ListKind.DELTA]
+            assert (await rig.ask()).status == 503 and rig.sent == 0
+    run(test())
+
+
+def test_proxies_open_their_watches_anew_at_moments_of_their_own() -> None:
+    """Guards against a fleet whose watches fall silent together and that asks together."""
+    moments: list[float] = []
+
+    async def test() -> None:
+        async with Rig() as rig:
+            for seed in range(230):
+                one = discovery.Discovery(rig.host, ("127.0.0.1", 1), 41, seed)
+                moments.append(one.rng.uniform(*discovery.RENEW_MS))
+    run(test())
+    assert all(10_000 <= m <= 30_000 for m in moments)
+    busiest = max(sum(m <= other < m + 1_000 for other in moments) for m in moments)
+    assert busiest <= 230 / 8, "a discovery that is asked may need 8 s for a call from each"
+
+
 def test_discovery_that_moves_is_followed_at_once_and_the_old_one_is_left() -> None:
     async def test() -> None:
         async with Rig() as rig:
