Discovery: the life of a watch as a state machine; renewed beside the old one, agents asked every 2 s

A new process took clients with its known list, which counts as old from the first moment. A proxy out of descriptors could not hear of the list. Change: net/watch.py decides (events in, actions out, no socket, no clock), net/discovery.py makes the calls. Asked: the new watch is opened beside the old one, which is dropped once the new one stands. Pushed: waits of 2 s, a silent call asked again after 0.5 s more and kept for the agent's return, failures after 20 to 100 ms; a new process asks first and is ready when it has heard, or after 0.5 s. A lower revision brings nothing back but takes away. A whole list without members is refused. Discovery's descriptors are kept apart. Figures: svc_registry_age_ms, svc_registry_failures.

--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -1,125 +1,153 @@
-"""Discovery: the list of cache nodes, read whole and followed with a long-poll watch."""
+"""Discovery: the list of cache nodes, followed by calls as `watch` says."""
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
-import random
+from collections.abc import Callable
 
 from notchflow.interface import ListKind, Membership
+from notchflow.net.clock import Clock
 from notchflow.net.exchange import Answer, Teller
 from notchflow.net.listing import Address, Listing, decode_listing, node_id, parse_address
+from notchflow.net.timers import Calendar, Handle
 from notchflow.net.upstream import Connection, IdleLimit, Pool
+from notchflow.net.watch import Action, Ask, Drop, Failed, Take, Watch
 
 __all__ = ["Address", "Call", "Discovery", "Listing", "decode_listing", "node_id", "parse_address"]
 
 log = logging.getLogger(__name__)
 
-WAIT_MS = 60_000  # the longest that discovery allows
-ANSWER_MARGIN_MS = 1_000.0
-# A watch that has fallen silent looks like one with nothing to tell. So each is opened anew in time, at a moment
-# of its own: a discovery that is asked takes calls in turn, and watches mostly fall silent together. What a silent
-# one misses counts as told 2 s after its wait: half of the wait is left for calls that fail.
-RENEW_MS = (10_000.0, 30_000.0)
-SPACING_MS = 100.0  # between two calls, for a discovery that answers at once; a watch goes on for 200
+REQUEST = b"GET /registry/instances%b HTTP/1.1\r\nHost: discovery\r\n\r\n"
 LIST_MAX = 4 << 20  # bytes of one answer: some ten thousand nodes; more is a fault, and memory is scarce
-OLDER_MS = 60_000.0
 CONNECT_MS = 1_000.0
-AGAIN_MS = 500.0  # after a failure of the agent on this machine, which costs nothing to ask
 IDLE_MS = 1_000.0  # the next call leaves at once, or it is a new beginning
+PATIENCE_MS = 500.0  # a new process waits so long to hear what the agent has, before it says that it is ready
+
+
+class Reserve:
+    """The host as discovery's connections see it: their descriptors are kept apart, for a proxy that has used
+    up its own must hear of the list all the same. `host.RESERVED` counts the two that may be open."""
+
+    def __init__(self, host: Teller) -> None:
+        self.loop: asyncio.AbstractEventLoop = host.loop
+        self.clock: Clock = host.clock
+        self.timers: Calendar = host.timers
+        self.at: Callable[..., Handle] = host.at
+        self.soon = host.soon
+
+    def descriptor(self) -> bool:
+        return True
+
+    def freed(self) -> None:
+        """Nothing was counted."""
+
 
 class Discovery:
-    """One call at a time, answers applied in order. After a failure the module says when to ask again."""
+    """Carries out what the watch decides: calls on sockets, lists to the host, failures to the module."""
 
     def __init__(self, host: Teller, address: Address | None, revision: int, seed: int) -> None:
         self.host = host
         self.fixed = address is None  # nobody to ask: the list that is known is all there ever is
-        self.pool = Pool(host, address or ("", 0), CONNECT_MS, IdleLimit(IDLE_MS))
-        self.revision: int | None = revision
-        self.older_since: float | None = None
-        self.call: Call | None = None
-        self.called_at = 0.0
-        self.wanted = False
-        self.rng = random.Random(seed)
+        self.reserve = Reserve(host)
+        self.pool = self._pool(address or ("", 0))
+        self.watching = Watch(revision, host.settings.list_on_request, seed)
+        self.calls: dict[int, Call] = {}
+        self.timer: Handle | None = None
+        self.timer_at = float("inf")
+        self.patient_until = float("inf")
+
+    @property
+    def revision(self) -> int | None:
+        return self.watching.revision
+
+    @revision.setter
+    def revision(self, revision: int) -> None:
+        self.watching.revision = revision
+
+    @property
+    def informed(self) -> bool:
+        """Whether the list is as new as may be expected of a new process."""
+        watch = self.watching
+        return (watch.heard_at is not None or watch.asked or self.fixed
+                or self.host.clock.now() >= self.patient_until)
+
+    def age_ms(self, now: float) -> float | None:
+        """For how long nothing was heard; none where nothing was heard yet."""
+        heard = self.watching.heard_at
+        return None if heard is None else now - heard
+
+    def begin(self) -> None:
+        """The process starts. Where lists are asked for the module says when to call first."""
+        self.patient_until = self.host.clock.now() + PATIENCE_MS
+        if not self.host.settings.list_on_request:
+            self.watch(True)
 
     def watch(self, on: bool) -> None:
         """Begins the watch, or ends it after the answer that is out."""
-        self.wanted = on and not self.fixed
-        if self.wanted and self.call is None:
-            self._call()
+        if not self.fixed:
+            self._do(self.watching.want(self.host.clock.now(), on))
+
+    def retuned(self) -> None:
+        """The settings are others."""
+        if not self.fixed:
+            self._do(self.watching.mode(self.host.clock.now(), self.host.settings.list_on_request))
 
     def move(self, address: Address) -> None:
-        """Goes on at another address, from the revision that is known. The old one tells nothing any more:
-        the watch that is out there must not be waited for."""
+        """Goes on at another address, from the revision that is known."""
         if address == self.pool.address:
             return
         log.info("discovery moves to %s:%d", *address)
         self.fixed = False
-        call, self.call = self.call, None
-        if call is not None:
-            call.drop()
         self.pool.retire()
-        self.pool = Pool(self.host, address, CONNECT_MS, IdleLimit(IDLE_MS))
-        self.watch(True)
+        self.pool = self._pool(address)
+        self._do(self.watching.move(self.host.clock.now()))
 
-    def _again(self, _: object = None) -> None:
-        self.watch(True)
+    def _pool(self, address: Address) -> Pool:
+        return Pool(self.reserve, address, CONNECT_MS, IdleLimit(IDLE_MS))
 
-    def _call(self, _: object = None) -> None:
-        if self.call is not None or not self.wanted:
-            return
-        self.called_at = self.host.clock.now()
-        query = b"" if self.revision is None else b"?index=%d&wait=%d" % (self.revision, WAIT_MS)
-        self.call = call = Call(
-            self, b"GET /registry/instances%b HTTP/1.1\r\nHost: discovery\r\n\r\n" % query)
-        self.host.at(self.called_at + WAIT_MS + ANSWER_MARGIN_MS, call.expire)
-        self.host.at(self.called_at + self.rng.uniform(*RENEW_MS), self._renew, call)
-        self.pool.send(call, self.called_at)
-
-    def _renew(self, call: Call) -> None:
-        """Opens the watch anew, unless it has told something: it may have fallen silent."""
-        if self.call is call:
-            self.call = None
-            call.drop()
-            self._call()
-
-    def ended(self, listing: Listing | None, problem: str) -> None:
-        """The call that was out has ended, with a list or without."""
-        self.call = None
-        if listing is not None:
-            problem = self._out_of_order(listing)
-        if listing is None or problem:
-            log.warning("discovery: %s", problem)
-            self.wanted = False
-            self.host.tell(Membership(ListKind.FAILED))
-            if not self.host.settings.list_on_request:  # the module does not ask where lists are pushed
-                self.host.at(self.host.clock.now() + AGAIN_MS, self._again)
-            return
-        self.revision = listing.revision
-        self.host.apply(listing, ListKind.FULL if listing.complete else ListKind.DELTA)
-        self.host.pass_on(listing)
-        wait = self.called_at + SPACING_MS - self.host.clock.now()
-        if wait > 0:
-            self.host.at(self.called_at + SPACING_MS, self._call)
-        else:
-            self._call()
-
-    def _out_of_order(self, listing: Listing) -> str:
-        """Why a list must not be applied: an older one would bring back nodes that drain or are gone."""
-        if self.revision is None or listing.revision >= self.revision:
-            self.older_since = None
-            if self.revision is None and not listing.complete:
-                return "changes to a list that was never given"
-            return ""
+    def ended(self, number: int, listing: Listing | None, problem: str) -> None:
+        """A call has ended, with a list or without."""
+        del self.calls[number]
         now = self.host.clock.now()
-        self.older_since = self.older_since or now
-        if now < self.older_since + OLDER_MS:
-            return f"revision {listing.revision} is older than {self.revision}"
-        self.older_since = None
-        if listing.complete:
-            return ""
-        self.revision = None  # the whole list, next time
-        return "revisions began anew"
+        if listing is None:
+            self._do(self.watching.failed(now, number, problem))
+        else:
+            self._do(self.watching.answered(now, number, listing, self.host.emptied(listing)))
+
+    def _wake(self, _: object = None) -> None:
+        self.timer = None
+        self._do(self.watching.wake(self.host.clock.now()))
+
+    def _do(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Ask(number, revision, wait_ms):
+                    query = b"" if revision is None else b"?index=%d&wait=%d" % (revision, wait_ms)
+                    self.calls[number] = call = Call(self, number, REQUEST % query)
+                    self.pool.send(call, self.host.clock.now())
+                case Drop(number):
+                    self.calls.pop(number).drop()
+                case Take(listing, kind):
+                    self.host.apply(listing, kind)
+                    self.host.pass_on(listing)
+                case Failed(problem, watched):
+                    self.host.figures.registry_failures += 1
+                    log.warning("discovery: %s", problem)
+                    if not watched:
+                        self.host.tell(Membership(ListKind.FAILED))
+        self._arm()
+
+    def _arm(self) -> None:
+        due = self.watching.wake_at
+        if self.timer is not None:
+            if due == self.timer_at:
+                return
+            self.host.timers.cancel(self.timer)
+            self.timer = None
+        if due < float("inf"):
+            self.timer, self.timer_at = self.host.at(due, self._wake), due
 
 
 class Call:
@@ -128,9 +156,9 @@
     hold_max = LIST_MAX
     unfinished = False
 
-    def __init__(self, discovery: Discovery, data: bytes) -> None:
+    def __init__(self, discovery: Discovery, number: int, data: bytes) -> None:
         self.discovery, self.pool = discovery, discovery.pool
-        self.data = data
+        self.number, self.data = number, data
         self.connection: Connection | None = None
         self.over = False
 
@@ -138,10 +166,6 @@
         """What is written."""
         return [self.data]
 
-    def expire(self, _: object = None) -> None:
-        if not self.over:
-            self._end(None, "no answer")
-
     def stream(self, answer: Answer) -> bool:
         self._end(None, f"an answer of over {LIST_MAX} bytes")
         return False
@@ -175,7 +199,7 @@
     def _end(self, listing: Listing | None, problem: str) -> None:
         if not self.over:
             self.drop()
-            self.discovery.ended(listing, problem)
+            self.discovery.ended(self.number, listing, problem)
 
     def drop(self) -> None:
         """Waits no longer: neither for an answer nor for a connection that is still being made."""
--- a/notchflow/net/downstream.py
+++ b/notchflow/net/downstream.py
@@ -441,7 +441,7 @@
                 return
         path = call.url.partition(b"?")[0]
         if path == READY:
-            self._write(call, 503 if self.host.duty.away else 200, [], [], 0)
+            self._write(call, 503 if self.host.duty.away or not self.host.informed() else 200, [], [], 0)
             return
         if self.front.door is not None:
             reply = self.front.door.begin(call)
--- a/notchflow/net/exchange.py
+++ b/notchflow/net/exchange.py
@@ -210,11 +210,15 @@
     """What discovery needs of the host."""
 
     settings: Settings
+    figures: Figures
 
     def tell(self, event: Event) -> None: ...
 
     def apply(self, listing: Listing, kind: ListKind) -> None: ...
 
+    def emptied(self, listing: Listing) -> bool:
+        """Whether a whole list would leave nothing of the one that is known."""
+
     def pass_on(self, listing: Listing) -> None:
         """Tells other processes of this proxy what discovery told this one."""
 
@@ -238,6 +242,9 @@
 
     def freed(self) -> None: ...
 
+    def informed(self) -> bool:
+        """Whether clients may come: the list is as new as may be expected of a new process."""
+
     def request(self, call: Call, cls: str, budget_ms: float | None, key: str | None = None,
                 tenant: str | None = None, hint_ms: float | None = None, size: float | None = None,
                 retry: bool = False, write: bool = False) -> None: ...
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -110,8 +110,7 @@
         state = self.succession.ask() if self.succession is not None else None
         if state is None or not self._inherit(state):
             self.apply(self.config.known, ListKind.CACHED)
-        if not self.settings.list_on_request:
-            self.discovery.watch(True)
+        self.discovery.begin()
         self.at(self.clock.now() + SWEEP_MS, self._sweep)
         for front in self.fronts:
             front.listen()
@@ -129,6 +128,7 @@
         self._take_over(config)
         if changed:
             self.tell(Retune(config.settings))
+            self.discovery.retuned()
         self.config = config
         if config.discovery is not None:
             self.discovery.move(config.discovery)
@@ -289,8 +289,11 @@
 
     def report(self) -> str:
         """The figures as they are now."""
+        now = self.clock.now()
+        age = self.discovery.age_ms(now)
         return self.figures.text({"registry_entries": len(self.listed),
-                                  "out_of_rotation": self.balancer.avoided(self.clock.now())})
+                                  "registry_age_ms": -1 if age is None else round(age),
+                                  "out_of_rotation": self.balancer.avoided(now)})
 
     def _drain(self, _: object = None) -> None:
         now = self.clock.now()
@@ -478,6 +481,14 @@
             if any(attempt.unwritten_to(retired) for attempt in item.out.values()):
                 self._call_off(item)
 
+    def emptied(self, listing: Listing) -> bool:
+        """Whether a whole list would leave nothing of the one that is known."""
+        return listing.complete and not listing.members and bool(self.listed)
+
+    def informed(self) -> bool:
+        """Whether clients may come: the list is as new as may be expected of a new process."""
+        return self.discovery.informed
+
     def _list(self, listing: Listing) -> None:
         names, addresses = listing.names or {}, listing.addresses or {}
         for member in listing.members:
--- /dev/null
+++ b/notchflow/net/watch.py
@@ -0,0 +1,264 @@
+"""The life of the watch on discovery's list, without sockets and without a clock.
+
+A watch is a call that discovery answers once there is something newer than the list that is known, or when
+the wait that the call asks for is over. A watch that has fallen silent looks like one with nothing to tell.
+So each is opened anew in time, and the old one is kept until the new one stands: `docs/design/discovery.md`
+has the times.
+
+Where lists are asked for, discovery is one service for all proxies that works calls through in turn, so that
+each proxy asks at moments of its own; after a failure the module says when to ask again. Where they are
+pushed, an agent on this machine answers at once and at no cost, and what it has counts as told.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+from math import inf
+from typing import Final, TypeAlias
+
+from notchflow.interface import ListKind, State
+from notchflow.net.listing import Listing
+
+# Where lists are asked for. What a silent watch misses counts as told 2 s after its wait, so the call asks
+# for the longest that discovery allows, and half of it is left for calls that fail. The moments of all
+# proxies lie over more than the 8 s that discovery may need for a call from each.
+WAIT_MS: Final = 60_000
+RENEW_MS: Final = (10_000.0, 30_000.0)  # when a watch is opened anew, from its beginning
+RETRY_MS: Final = (1_000.0, 5_000.0)  # and when again, if that failed while the old one is still there
+STANDS_MS: Final = 3_000.0  # discovery turns away by 2 s what it does not take: who hears nothing is watching
+WHOLE_WAIT_MS: Final = 2_000  # the whole list is given without a wait, but a call may have to queue
+ANSWER_MARGIN_MS: Final = 1_000.0  # after the wait, until a call counts as failed
+# Where an agent pushes them. What a silent watch misses counts as told 6 s after it fell silent; what the
+# agent has counts at once where no watch is open.
+FIRST_WAIT_MS: Final = 1  # of a new process, to which it counts from the first moment
+PUSH_WAIT_MS: Final = 2_000
+PUSH_MARGIN_MS: Final = 500.0  # after the wait, until a call is taken for silent
+AGAIN_MS: Final = (20.0, 100.0)  # after a failure, the first time and at most: under half of a drain's grace
+# In both ways.
+SPACING_MS: Final = 100.0  # between two calls, for a discovery that answers at once; a watch goes on for 200
+OLDER_MS: Final = 60_000.0  # for so long a lower revision may be a list of long ago
+
+
+class WatchError(Exception):
+    """Something happened to a call that is not out."""
+
+
+class Phase(Enum):
+    """What the watch is doing."""
+
+    IDLE = "idle"  # nothing is wanted, or the module says when to go on
+    RESTING = "resting"  # the next call is due at a known time
+    WATCHING = "watching"
+    RENEWING = "renewing"  # two calls are out: the watch, and the one that is to take its place
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Make a call: the changes since a revision, or the whole list where that is none."""
+
+    number: int
+    revision: int | None
+    wait_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Drop:
+    """Wait for this call no longer, and close its connection."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Take:
+    """This list holds from now on."""
+
+    listing: Listing
+    kind: ListKind
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """A call failed. `watched`: another one is out, so that nothing is missed."""
+
+    problem: str
+    watched: bool
+
+
+Action: TypeAlias = Ask | Drop | Take | Failed
+
+
+@dataclass(slots=True)
+class Out:
+    """A call that is out."""
+
+    number: int
+    begun_at: float
+    wait_ms: int
+
+
+class Watch:
+    """One proxy's watch. Each method is told the time, in milliseconds, and answers what to do; `wake` is to
+    be called at `wake_at`."""
+
+    def __init__(self, revision: int | None, asked: bool, seed: int) -> None:
+        self.revision = revision
+        self.asked = asked  # lists are asked for; else an agent pushes them
+        self.rng = random.Random(seed)
+        self.wanted = False
+        self.out: list[Out] = []  # the older first
+        self.number = 0
+        self.next_at = self.renew_at = inf
+        self.again_ms = AGAIN_MS[0]
+        self.heard_at: float | None = None  # when an answer was last taken
+        self.older_since: float | None = None
+        self.whole = False  # the whole list is wanted next
+
+    @property
+    def phase(self) -> Phase:
+        if self.out:
+            return Phase.WATCHING if len(self.out) == 1 else Phase.RENEWING
+        return Phase.RESTING if self.next_at < inf else Phase.IDLE
+
+    @property
+    def wake_at(self) -> float:
+        if not self.out:
+            return self.next_at
+        return min(self.renew_at, *(self._overdue_at(out) for out in self.out))
+
+    # -- what happens
+    def want(self, now: float, on: bool) -> list[Action]:
+        """The list is to be followed from now on, or not after the answer that is out."""
+        self.wanted = on
+        return self._call(now) if on and self.phase is Phase.IDLE else []
+
+    def mode(self, now: float, asked: bool) -> list[Action]:
+        """The settings have changed how lists come."""
+        if asked == self.asked:
+            return []
+        self.asked = asked
+        if self.out:
+            self.renew_at = self._renewal(now, self.out[-1])
+        return [] if asked else self.want(now, True)
+
+    def move(self, now: float) -> list[Action]:
+        """Discovery is elsewhere: the old one tells nothing any more, and must not be waited for."""
+        actions: list[Action] = [Drop(out.number) for out in self.out]
+        self.out.clear()
+        self.next_at = inf
+        return actions + self.want(now, True)
+
+    def answered(self, now: float, number: int, listing: Listing, empty: bool) -> list[Action]:
+        """A call brought a list. `empty`: nothing would be left of the list that is known."""
+        out = self._ended(number)
+        problem = "a whole list without members" if empty else self._out_of_order(now, listing)
+        if problem:
+            return self._withdrawn(listing) + self._failed(now, problem)
+        self.revision, self.heard_at, self.whole = listing.revision, now, False
+        self.again_ms = AGAIN_MS[0]
+        actions: list[Action] = [Take(listing, ListKind.FULL if listing.complete else ListKind.DELTA)]
+        actions.extend(Drop(other.number) for other in self.out)
+        self.out.clear()
+        if not self.wanted:
+            return actions
+        self.next_at = max(now, out.begun_at + SPACING_MS)
+        return actions + self.wake(now)
+
+    def failed(self, now: float, number: int, problem: str) -> list[Action]:
+        """A call ended without a list."""
+        self._ended(number)
+        return self._failed(now, problem)
+
+    def wake(self, now: float) -> list[Action]:
+        """Whatever is due by now."""
+        if not self.out:
+            return self._call(now) if self.next_at <= now else []
+        actions: list[Action] = []
+        for out in [o for o in self.out if self._overdue_at(o) <= now]:
+            actions.append(Drop(out.number))
+            actions.extend(self.failed(now, out.number, "no answer"))
+        if self.out and self.renew_at <= now:
+            actions.extend(self._renew(now))
+        return actions
+
+    # -- what follows
+    def _call(self, now: float) -> list[Action]:
+        self.next_at = inf
+        if not self.wanted:
+            return []
+        if self.whole:
+            wait = WHOLE_WAIT_MS
+        elif self.asked:
+            wait = WAIT_MS
+        else:
+            wait = PUSH_WAIT_MS if self.heard_at is not None else FIRST_WAIT_MS
+        self.number += 1
+        out = Out(self.number, now, wait)
+        self.out.append(out)
+        self.renew_at = now + STANDS_MS if self.asked and len(self.out) > 1 else self._renewal(now, out)
+        return [Ask(out.number, None if self.whole else self.revision, wait)]
+
+    def _renewal(self, now: float, out: Out) -> float:
+        """When the call is to be followed by one more, if it has told nothing by then."""
+        if self.asked:
+            return max(now, out.begun_at + self.rng.uniform(*RENEW_MS))
+        return max(now, out.begun_at + out.wait_ms + PUSH_MARGIN_MS)
+
+    def _renew(self, now: float) -> list[Action]:
+        if len(self.out) == 1:
+            return self._call(now)
+        if self.asked:  # the new one stands
+            old = self.out.pop(0)
+            self.renew_at = self._renewal(now, self.out[0])
+            return [Drop(old.number)]
+        silent = self.out.pop()  # as silent as the first, which an agent that is back may still answer
+        return [Drop(silent.number), *self._call(now)]
+
+    def _overdue_at(self, out: Out) -> float:
+        """When a call counts as failed. An agent that hears nothing is silent, and may answer later."""
+        return out.begun_at + out.wait_ms + ANSWER_MARGIN_MS if self.asked else inf
+
+    def _ended(self, number: int) -> Out:
+        for out in self.out:
+            if out.number == number:
+                self.out.remove(out)
+                return out
+        raise WatchError(f"call {number} is not out")
+
+    def _failed(self, now: float, problem: str) -> list[Action]:
+        again, self.again_ms = self.again_ms, min(2 * self.again_ms, AGAIN_MS[1])
+        if self.out:
+            self.renew_at = now + (self.rng.uniform(*RETRY_MS) if self.asked else again)
+            return [Failed(problem, True)]
+        if self.asked:  # the module says when
+            self.wanted = False
+        elif self.wanted:
+            self.next_at = now + again
+        return [Failed(problem, False)]
+
+    # -- which lists are accepted
+    def _out_of_order(self, now: float, listing: Listing) -> str:
+        """Why a list must not be applied: an older one would bring back nodes that drain or are gone."""
+        if self.whole and not listing.complete:
+            return "changes where the whole list was asked for"
+        if self.revision is None or listing.revision >= self.revision:
+            self.older_since = None
+            return ""
+        if self.older_since is None:
+            self.older_since = now
+        self.whole = True
+        if listing.complete and now >= self.older_since + OLDER_MS:
+            self.older_since = None
+            return ""  # revisions began anew
+        return f"revision {listing.revision} is older than {self.revision}"
+
+    def _withdrawn(self, listing: Listing) -> list[Action]:
+        """What a list that is not accepted takes away: it was told, whatever else is wrong with it. The whole
+        list, which is asked for next, brings back what was taken away wrongly."""
+        away = tuple(m for m in listing.members if m.state is not State.READY)
+        if not away:
+            return []
+        self.whole = True
+        changes = Listing(listing.revision, False, away, listing.addresses, listing.names)
+        return [Take(changes, ListKind.DELTA)]
--- a/notchflow/operations/figures.py
+++ b/notchflow/operations/figures.py
@@ -48,6 +48,7 @@
     def __init__(self, classes: Iterable[str] = ()) -> None:
         self.classes: dict[str, ClassCounts] = {}
         self.cfg_accepted = self.cfg_invalid = 0
+        self.registry_failures = 0  # calls to discovery that brought no list which could be taken
         self.know(classes)
 
     def know(self, classes: Iterable[str]) -> None:
@@ -77,7 +78,8 @@
                       for word in ("fulfilled", "throttled", "faulted", "relayed")]
         departed = sum(c.departed for c in self.classes.values())
         for name, value in {"departed": departed, "cfg_accepted": self.cfg_accepted,
-                            "cfg_invalid": self.cfg_invalid}.items():
+                            "cfg_invalid": self.cfg_invalid,
+                            "registry_failures": self.registry_failures}.items():
             lines += [f"# TYPE {PREFIX}_{name} counter", f"{PREFIX}_{name} {value}"]
         for name, value in {"open_requests": self.open, **gauges}.items():
             lines += [f"# TYPE {PREFIX}_{name} gauge", f"{PREFIX}_{name} {value}"]
--- a/standins/discovery.py
+++ b/standins/discovery.py
@@ -70,6 +70,8 @@
                 index = int(query["index"][0]) if "index" in query else None
                 if index is not None:
                     await self._wait(index, int(query.get("wait", ["0"])[0]) / 1e3)
+                if writer.is_closing():
+                    return  # who asked has gone meanwhile
                 listing = self.listing(index)
                 body = json.dumps(listing).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
