--- a/notchflow/hosting/file.py
+++ b/notchflow/hosting/file.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tomllib
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -255,7 +256,7 @@
     faults, roster = [], cluster.roster
     if not 1 <= len(roster) <= NAMES_MAX:
         faults.append(Fault("cluster.roster", f"has {len(roster)} names; 1 to {NAMES_MAX}"))
-    twice = sorted({name for name in roster if roster.count(name) > 1}) if len(roster) <= NAMES_MAX else []
+    twice = sorted(name for name, count in Counter(roster).items() if count > 1)
     if twice:
         faults.append(Fault("cluster.roster", f"holds {', '.join(twice)} twice; each name stands once"))
     if roster and cluster.name not in roster:
--- a/notchflow/net/listing.py
+++ b/notchflow/net/listing.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Any
 
 from notchflow.interface import Member, State
 
@@ -54,14 +56,31 @@
     if not isinstance(revision, int) or not isinstance(complete, bool) or not isinstance(entries, list):
         raise ValueError("expected a whole number in revision, a bool in complete and a list in members")
     members, addresses, names = [], {}, {}
-    for entry in entries:
+    for place, entry in enumerate(entries):
         try:
-            node = node_id(entry["id"])
-            members.append(Member(
-                node=node, state=PHASES[entry["phase"]], kind=str(entry.get("flavor", "")),
-                zone=str(entry.get("locality", "")), cell=int(entry.get("cell", 0)),
-                size=float(entry.get("size", 1.0)), ready_at_ms=float(entry.get("up_since_ms", 0))))
-            addresses[node], names[node] = parse_address(entry["host_port"]), entry["id"]
-        except (TypeError, KeyError, AttributeError, ValueError, OverflowError) as error:
-            raise ValueError(f"expected a member as discovery describes it ({error!r})") from None
+            member, address = _decode_member(entry)
+        except KeyError as error:
+            raise ValueError(f"members[{place}]: lacks {error.args[0]}: {entry!r:.120}") from None
+        except (TypeError, AttributeError, ValueError, OverflowError) as error:
+            raise ValueError(f"members[{place}]: {error}: {entry!r:.120}") from None
+        if member.node in names:
+            raise ValueError(f"members[{place}]: {entry['id']!r:.120} is there twice")
+        members.append(member)
+        addresses[member.node], names[member.node] = address, entry["id"]
     return Listing(revision, complete, tuple(members), addresses, names)
+
+
+def _decode_member(entry: Any) -> tuple[Member, Address]:
+    name, phase = entry["id"], entry["phase"]
+    if not isinstance(name, str) or not name:
+        raise ValueError(f"expected a name in id, got {name!r:.60}")
+    if phase not in PHASES:
+        raise ValueError(f"expected phase to be one of {', '.join(PHASES)}, got {phase!r:.60}")
+    size, started = float(entry.get("size", 1.0)), float(entry.get("up_since_ms", 0))
+    for field, value in (("size", size), ("up_since_ms", started)):
+        if not 0 <= value < math.inf:
+            raise ValueError(f"expected a finite number from 0 in {field}, got {value!r}")
+    member = Member(
+        node=node_id(name), state=PHASES[phase], kind=str(entry.get("flavor", "")),
+        zone=str(entry.get("locality", "")), cell=int(entry.get("cell", 0)), size=size, ready_at_ms=started)
+    return member, parse_address(entry["host_port"])
--- a/notchflow/net/upstream.py
+++ b/notchflow/net/upstream.py
@@ -351,6 +351,9 @@
         self.retired = False
 
     def send(self, exchange: Exchange, now: float) -> None:
+        if self.retired:  # whoever decided on it did so by an older list
+            self.host.soon(exchange.starved, None)
+            return
         while self.idle:
             connection = self.idle[-1]
             if now - connection.idle_since > self.limit.ms:
@@ -432,6 +435,10 @@
         if dial is None:
             connection.close()
             connection.transport = None  # that it is lost is not told where the dial was cancelled
+        elif self.retired:
+            self.host.timers.cancel(dial[2])
+            connection.close()
+            dial[1].failed(False)
         else:
             self.host.timers.cancel(dial[2])
             connection.start(dial[1], self.host.clock.now())
