--- a/notchflow/net/watch.py
+++ b/notchflow/net/watch.py
@@ -187,17 +187,18 @@
         self.next_at = inf
         if not self.wanted:
             return []
-        if self.whole:
-            wait = WHOLE_WAIT_MS
-        elif self.asked:
-            wait = WAIT_MS
-        else:
-            wait = PUSH_WAIT_MS if self.heard_at is not None else FIRST_WAIT_MS
         self.number += 1
-        out = Out(self.number, now, wait)
+        out = Out(self.number, now, self._wait_ms())
         self.out.append(out)
         self.renew_at = now + STANDS_MS if self.asked and len(self.out) > 1 else self._renewal(now, out)
-        return [Ask(out.number, None if self.whole else self.revision, wait)]
+        return [Ask(out.number, None if self.whole else self.revision, out.wait_ms)]
+
+    def _wait_ms(self) -> int:
+        if self.whole:
+            return WHOLE_WAIT_MS
+        if self.asked:
+            return WAIT_MS
+        return PUSH_WAIT_MS if self.heard_at is not None else FIRST_WAIT_MS
 
     def _renewal(self, now: float, out: Out) -> float:
         """When the call is to be followed by one more, if it has told nothing by then."""
--- /dev/null
+++ b/tests/emulator/test_watches.py
@@ -0,0 +1,162 @@
+"""A fleet's watches in simulated time, held to the operators' terms on when a change counts as told."""
+
+from __future__ import annotations
+
+import os
+
+import pytest
+
+from notchflow.emulator.watch_explorer import draw, explore, play
+from notchflow.emulator.watches import Day, World
+from notchflow.net.listing import Listing
+from notchflow.net.watch import Action, Failed, Out, Take, Watch
+
+LONG = bool(os.environ.get("NOTCHFLOW_LONG"))
+
+# All watches fall silent in the first seconds and nodes begin to drain right after: the calm short day.
+SILENT = {"silences": (6_000.0,), "changes": (7_000.0,)}
+
+
+@pytest.mark.parametrize("asked", [True, False])
+@pytest.mark.parametrize("all_call_ms", [2_000.0, 8_000.0])
+@pytest.mark.parametrize("proxies", [2, 6, 40, 230])
+def test_watches_that_fall_silent_together_are_replaced_in_time(
+        proxies: int, all_call_ms: float, asked: bool) -> None:
+    verdict = World(Day(proxies=proxies, asked=asked, all_call_ms=all_call_ms, **SILENT)).play()  # type: ignore[arg-type]
+    assert verdict.broken == [] and verdict.slack_ms >= (5_000 if asked else 250)
+    assert verdict.age_ms <= (35_000 if asked else 3_000)
+    assert verdict.busiest <= max(3, proxies * 1_000 / all_call_ms), "no more than discovery can take"
+
+
+@pytest.mark.parametrize("asked", [True, False])
+def test_two_silences_and_one_just_as_a_watch_is_opened_anew(asked: bool) -> None:
+    for second in range(9_000, 34_000, 500):
+        day = Day(proxies=6, asked=asked, all_call_ms=2_000.0, silences=(1_000.0, float(second)),
+                  changes=(1_500.0, second + 100.0))
+        assert World(day).play().broken == [], second
+
+
+@pytest.mark.parametrize("asked", [True, False])
+def test_every_placing_of_a_silence_a_cut_a_move_and_a_restart_holds(asked: bool) -> None:
+    moments = (1_500.0, 6_000.0, 12_000.0, 22_000.0, 31_000.0) if LONG else (1_500.0, 6_000.0, 31_000.0)
+    count, broken = explore(asked, moments, 3 if LONG else 2, processes=os.cpu_count() or 1 if LONG else 1)
+    assert count == (45_360 if LONG else 1_536) and broken == []
+
+
+def test_drawn_days_with_troubles_of_all_kinds_hold() -> None:
+    for seed in range(4_000 if LONG else 40):
+        day, broken = play(draw(seed))
+        assert broken == [], day
+
+
+class AsBefore(Watch):
+    """Waits of 20 s, given up a second after, and nothing opened anew."""
+
+    def _wait_ms(self) -> int:
+        return 20_000
+
+    def _renewal(self, now: float, out: Out) -> float:
+        return float("inf")
+
+
+class NeverAnew(Watch):
+    def _renewal(self, now: float, out: Out) -> float:
+        return float("inf")
+
+
+class AllAtOneMoment(Watch):
+    """Anew, but at the same age everywhere and late."""
+
+    def _renewal(self, now: float, out: Out) -> float:
+        return out.begun_at + 59_500.0 if self.asked else super()._renewal(now, out)
+
+
+class IgnoresTheNewOne(Watch):
+    """Takes nothing from a second call."""
+
+    def answered(self, now: float, number: int, listing: Listing, empty: bool) -> list[Action]:
+        if len(self.out) == 2 and number == self.out[1].number:
+            return self.failed(now, number, "ignored")
+        return super().answered(now, number, listing, empty)
+
+
+class NoSecondTry(Watch):
+    """A renewal that fails is the last."""
+
+    def _failed(self, now: float, problem: str) -> list[Action]:
+        actions = super()._failed(now, problem)
+        if self.out:
+            self.renew_at = float("inf")
+        return actions
+
+
+class TakesOlder(Watch):
+    def _out_of_order(self, now: float, listing: Listing) -> str:
+        return ""
+
+
+class SlowAfterFailure(Watch):
+    """An agent that failed is left alone for half a second."""
+
+    def _failed(self, now: float, problem: str) -> list[Action]:
+        actions = super()._failed(now, problem)
+        if not self.asked and not self.out:
+            self.next_at = now + 500.0
+        return actions
+
+
+class AsksLateAtTheStart(Watch):
+    def want(self, now: float, on: bool) -> list[Action]:
+        if not self.asked and self.number == 0:
+            self.wanted, self.next_at = on, now + 1_000.0
+            return []
+        return super().want(now, on)
+
+
+class LostInAMove(Watch):
+    def move(self, now: float) -> list[Action]:
+        actions = super().move(now)
+        self.out.clear()
+        return actions[:-1]
+
+
+class NoneAfterAnAnswer(Watch):
+    def answered(self, now: float, number: int, listing: Listing, empty: bool) -> list[Action]:
+        actions = super().answered(now, number, listing, empty)
+        if self.phase.value == "watching" and any(isinstance(a, Take) for a in actions):
+            self.out.clear()
+            return [a for a in actions if isinstance(a, Take)]
+        return actions
+
+
+class DeafToTheModule(Watch):
+    """After a failure nobody asks again."""
+
+    def _failed(self, now: float, problem: str) -> list[Action]:
+        actions = super()._failed(now, problem)
+        if any(isinstance(a, Failed) and not a.watched for a in actions):
+            self.next_at = 1e9
+        return actions
+
+
+TROUBLES = (
+    Day(proxies=40, all_call_ms=8_000.0, **SILENT),  # type: ignore[arg-type]
+    Day(proxies=2, all_call_ms=2_000.0, silences=(6_000.0,), changes=(7_000.0,), cuts=((7_100.0, 0),),
+        length_ms=120_000.0),
+    Day(proxies=6, asked=False, resets=(9_000.0,), changes=(9_100.0,)),
+    Day(proxies=6, asked=False, restarts=((9_100.0, 0),), changes=(9_000.0,)),
+    Day(proxies=6, all_call_ms=2_000.0, moves=(9_000.0,), changes=(12_000.0, 30_000.0)),
+    Day(proxies=6, all_call_ms=2_000.0, changes=(12_000.0, 13_000.0, 40_000.0), older=((12_900.0, 1),)),
+    Day(proxies=6, all_call_ms=2_000.0, resets=(9_000.0,), changes=(15_000.0,)),
+)
+
+
+@pytest.mark.parametrize("mutant", [
+    AsBefore, NeverAnew, AllAtOneMoment, IgnoresTheNewOne, NoSecondTry, TakesOlder, SlowAfterFailure,
+    AsksLateAtTheStart, LostInAMove, NoneAfterAnAnswer, DeafToTheModule])
+def test_a_fault_in_the_watch_is_told_by_the_judge(mutant: type[Watch]) -> None:
+    assert any(World(day, mutant).play().broken for day in TROUBLES)
+
+
+def test_the_same_days_hold_without_a_fault() -> None:
+    assert [World(day).play().broken for day in TROUBLES] == [[]] * len(TROUBLES)
