Pauses between calls to discovery follow the settings: a part of the grace, of the time to ask within

Lines: the SetTimer in Balancer._membership. Mend: no pause of the module's takes more than 0.4 of AskWithinMs (0.6 with its draw), nor does a renewal's; pauses between calls to an agent are 0.4 of the drain's grace, 20 ms at least and 100 ms at most as before.

--- a/notchflow/emulator/watches.py
+++ b/notchflow/emulator/watches.py
@@ -27,7 +27,7 @@
 SLACK_MS: Final = 50.0  # on sockets, beside the grace
 SOMEBODY: Final = (Member(1),)
 
-Maker = Callable[[int, bool, int], Watch]
+Maker = Callable[[int, bool, int, Rules], Watch]
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,7 +89,7 @@
         self.started_at = world.sim.now
         self.alive = True
         day = world.day
-        self.watch = world.make(revision, day.asked, day.seed * 1_000 + number)
+        self.watch = world.make(revision, day.asked, day.seed * 1_000 + number, world.settings.rules)
         self.module = Balancer(world.settings, day.seed * 1_000 + number, world.sim.now)
         self.lines: dict[int, Line] = {}
         self.last_call_at, self.last_failed = world.sim.now, False
@@ -161,9 +161,10 @@
     def __init__(self, day: Day, make: Maker = Watch) -> None:
         self.day, self.make = day, make
         self.sim = Simulator()
+        rules = Rules(ask_within_ms=day.ask_within_ms, drain_grace_ms=day.grace_ms)
         self.settings = Settings(
             classes=(RequestClass("read", 300, 1_000),), zone="a", balancers=day.proxies, limits=Limits(),
-            list_on_request=day.asked, rules=Rules(ask_within_ms=day.ask_within_ms))
+            list_on_request=day.asked, rules=rules)
         self.revision = 0
         self.place = 0
         self.down = False
--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -52,7 +52,8 @@
         self.fixed = address is None  # nobody to ask: the list that is known is all there ever is
         self.reserve = Reserve(host)
         self.pool = self._pool(address or ("", 0))
-        self.watching = Watch(revision, host.settings.list_on_request, seed)
+        settings = host.settings
+        self.watching = Watch(revision, settings.list_on_request, seed, settings.rules)
         self.calls: dict[int, Call] = {}
         self.timer: Handle | None = None
         self.timer_at = float("inf")
@@ -92,7 +93,8 @@
     def retuned(self) -> None:
         """The settings are others."""
         if not self.fixed:
-            self._do(self.watching.mode(self.host.clock.now(), self.host.settings.list_on_request))
+            settings = self.host.settings
+            self._do(self.watching.mode(self.host.clock.now(), settings.list_on_request, settings.rules))
 
     def move(self, address: Address) -> None:
         """Goes on at another address, from the revision that is known."""
--- a/notchflow/net/watch.py
+++ b/notchflow/net/watch.py
@@ -18,7 +18,7 @@
 from math import inf
 from typing import Final, TypeAlias
 
-from notchflow.interface import ListKind, State
+from notchflow.interface import ListKind, Rules, State
 from notchflow.net.listing import Listing
 
 # Where lists are asked for. What a silent watch misses counts as told 2 s after its wait, so the call asks
@@ -26,7 +26,8 @@
 # proxies lie over more than the 8 s that discovery may need for a call from each.
 WAIT_MS: Final = 60_000
 RENEW_MS: Final = (10_000.0, 30_000.0)  # when a watch is opened anew, from its beginning
-RETRY_MS: Final = (1_000.0, 5_000.0)  # and when again, if that failed while the old one is still there
+RETRY_MS: Final = (1_000.0, 5_000.0)  # and when again, if that failed while the old one is still there,
+RETRY_SHARE: Final = 0.4  # or so much of the time to ask within, if that is less
 STANDS_MS: Final = 3_000.0  # discovery turns away by 2 s what it does not take: who hears nothing is watching
 WHOLE_WAIT_MS: Final = 2_000  # the whole list is given without a wait, but a call may have to queue
 ANSWER_MARGIN_MS: Final = 1_000.0  # after the wait, until a call counts as failed
@@ -35,9 +36,11 @@
 FIRST_WAIT_MS: Final = 1  # of a new process, to which it counts from the first moment
 PUSH_WAIT_MS: Final = 2_000
 PUSH_MARGIN_MS: Final = 500.0  # after the wait, until a call is taken for silent
-AGAIN_MS: Final = (20.0, 100.0)  # after a failure, the first time and at most: under half of a drain's grace
-# In both ways.
-SPACING_MS: Final = 100.0  # between two calls, for a discovery that answers at once; a watch goes on for 200
+AGAIN_MS: Final = 20.0  # after a failure; doubled with each, as far as a pause may last
+# In both ways. What changes while no call is out may count as told, so that a pause lasts a part of a drain's
+# grace, and never so long that the watch is over (200 ms after the answer).
+PAUSE_SHARE: Final = 0.4
+PAUSE_MAX_MS: Final = 100.0
 OLDER_MS: Final = 60_000.0  # for so long a lower revision may be a list of long ago
 
 
@@ -103,19 +106,25 @@
     """One proxy's watch. Each method is told the time, in milliseconds, and answers what to do; `wake` is to
     be called at `wake_at`."""
 
-    def __init__(self, revision: int | None, asked: bool, seed: int) -> None:
+    def __init__(self, revision: int | None, asked: bool, seed: int, rules: Rules) -> None:
         self.revision = revision
         self.asked = asked  # lists are asked for; else an agent pushes them
+        self.rules = rules
         self.rng = random.Random(seed)
         self.wanted = False
         self.out: list[Out] = []  # the older first
         self.number = 0
         self.next_at = self.renew_at = inf
-        self.again_ms = AGAIN_MS[0]
+        self.again_ms = AGAIN_MS
         self.heard_at: float | None = None  # when an answer was last taken
         self.older_since: float | None = None
         self.whole = False  # the whole list is wanted next
 
+    @property
+    def pause_ms(self) -> float:
+        """Between two calls, for a discovery that answers at once."""
+        return min(max(PAUSE_SHARE * self.rules.drain_grace_ms, AGAIN_MS), PAUSE_MAX_MS)
+
     @property
     def phase(self) -> Phase:
         if self.out:
@@ -134,8 +143,9 @@
         self.wanted = on
         return self._call(now) if on and self.phase is Phase.IDLE else []
 
-    def mode(self, now: float, asked: bool) -> list[Action]:
-        """The settings have changed how lists come."""
+    def mode(self, now: float, asked: bool, rules: Rules) -> list[Action]:
+        """The settings are others: how lists come, and when they count as told."""
+        self.rules = rules
         if asked == self.asked:
             return []
         self.asked = asked
@@ -158,13 +168,13 @@
             return self._withdrawn(listing) + self._failed(now, problem)
         self.revision, self.heard_at = listing.revision, now
         self.whole = self.whole and not listing.complete
-        self.again_ms = AGAIN_MS[0]
+        self.again_ms = AGAIN_MS
         actions: list[Action] = [Take(listing, ListKind.FULL if listing.complete else ListKind.DELTA)]
         actions.extend(Drop(other.number) for other in self.out)
         self.out.clear()
         if not self.wanted:
             return actions
-        self.next_at = max(now, out.begun_at + SPACING_MS)
+        self.next_at = max(now, out.begun_at + self.pause_ms)
         return actions + self.wake(now)
 
     def failed(self, now: float, number: int, problem: str) -> list[Action]:
@@ -233,9 +243,10 @@
         raise WatchError(f"call {number} is not out")
 
     def _failed(self, now: float, problem: str) -> list[Action]:
-        again, self.again_ms = self.again_ms, min(2 * self.again_ms, AGAIN_MS[1])
+        again, self.again_ms = self.again_ms, min(2 * self.again_ms, self.pause_ms)
         if self.out:
-            self.renew_at = now + (self.rng.uniform(*RETRY_MS) if self.asked else again)
+            most = min(RETRY_MS[1], RETRY_SHARE * self.rules.ask_within_ms)
+            self.renew_at = now + (self.rng.uniform(min(RETRY_MS[0], most), most) if self.asked else again)
             return [Failed(problem, True)]
         if self.asked:  # the module says when
             self.wanted = False
--- a/notchflow/policy/balancer.py
+++ b/notchflow/policy/balancer.py
@@ -27,6 +27,7 @@
 WATCH_EARLY: Final = 0.3
 WATCH_SPACING_MS: Final = 25.0  # between the first calls of all instances, on average
 BACKOFF_MS, BACKOFF_MAX_MS = 500.0, 6_000.0
+BACKOFF_SHARE: Final = 0.4  # of the time to ask within, at most: half as much again by the draw, and the call
 
 
 class Balancer:
@@ -124,7 +125,8 @@
                 self.actions.append(SetTimer(now + self.rng.random() * early, "watch"))
         elif event.kind is ListKind.FAILED:
             if self.settings.list_on_request:
-                self.actions.append(SetTimer(now + self.backoff * (0.5 + self.rng.random()), "watch"))
+                wait = min(self.backoff, BACKOFF_SHARE * self.settings.rules.ask_within_ms)
+                self.actions.append(SetTimer(now + wait * (0.5 + self.rng.random()), "watch"))
                 self.backoff = min(self.backoff * 2, BACKOFF_MAX_MS)
         else:
             self.backoff = BACKOFF_MS
