--- /dev/null
+++ b/notchflow/emulator/fixed_waits.py
@@ -0,0 +1,37 @@
+"""What the watch is compared with, and was before: one call at a time with a wait of 20 s, given up a second
+after it, at every proxy alike."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from notchflow.net.watch import Action, Drop, Out, Watch
+
+FIXED_WAIT_MS: Final = 20_000
+GIVE_UP_MS: Final = 1_000.0
+AGAIN_MS: Final = 500.0
+
+
+class FixedWaits(Watch):
+    """One call at a time, and the next after its end."""
+
+    def _wait_ms(self) -> int:
+        return FIXED_WAIT_MS
+
+    def _renewal(self, now: float, out: Out) -> float:
+        return float("inf")
+
+    def _overdue_at(self, out: Out) -> float:
+        return out.begun_at + out.wait_ms + GIVE_UP_MS
+
+    def wake(self, now: float) -> list[Action]:
+        for out in list(self.out):
+            if self._overdue_at(out) <= now:
+                return [Drop(out.number), *self.failed(now, out.number, "no answer")]
+        return super().wake(now)
+
+    def _failed(self, now: float, problem: str) -> list[Action]:
+        actions = super()._failed(now, problem)
+        if not self.asked:
+            self.next_at = now + AGAIN_MS
+        return actions
--- a/standins/discovery.py
+++ b/standins/discovery.py
@@ -27,6 +27,9 @@
         self.calls = 0
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
+        self.silent: set[asyncio.StreamWriter] = set()  # on these nothing is said any more
+        self.up = asyncio.Event()
+        self.up.set()
 
     @property
     def address(self) -> str:
@@ -42,6 +45,16 @@
         for writer in self.writers:
             writer.transport.abort()
 
+    def silence(self) -> int:
+        """All that is open now is never answered; how many connections that is."""
+        self.silent |= self.writers
+        return len(self.writers)
+
+    def reset(self) -> None:
+        """Breaks all that is open."""
+        for writer in self.writers:
+            writer.transport.abort()
+
     async def put(self, entry: Mapping[str, Any]) -> None:
         """Adds or changes a box; watchers are told."""
         async with self.changed:
@@ -70,8 +83,12 @@
                 index = int(query["index"][0]) if "index" in query else None
                 if index is not None:
                     await self._wait(index, int(query.get("wait", ["0"])[0]) / 1e3)
+                await self.up.wait()
                 if writer.is_closing():
                     return  # who asked has gone meanwhile
+                if writer in self.silent:
+                    await reader.read()  # until who asked has given it up
+                    return
                 listing = self.listing(index)
                 body = json.dumps(listing).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
@@ -81,6 +98,7 @@
             pass  # the proxy left, or the stand-in ends
         finally:
             self.writers.discard(writer)
+            self.silent.discard(writer)
             writer.close()
 
     async def _wait(self, index: int, seconds: float) -> None:
--- a/tests/emulator/test_watches.py
+++ b/tests/emulator/test_watches.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from notchflow.emulator.fixed_waits import FixedWaits
 from notchflow.emulator.watch_explorer import draw, explore, play
 from notchflow.emulator.watches import Day, World
 from notchflow.net.listing import Listing
@@ -49,16 +50,6 @@
         assert broken == [], day
 
 
-class AsBefore(Watch):
-    """Waits of 20 s, given up a second after, and nothing opened anew."""
-
-    def _wait_ms(self) -> int:
-        return 20_000
-
-    def _renewal(self, now: float, out: Out) -> float:
-        return float("inf")
-
-
 class NeverAnew(Watch):
     def _renewal(self, now: float, out: Out) -> float:
         return float("inf")
@@ -151,7 +142,7 @@
 
 
 @pytest.mark.parametrize("mutant", [
-    AsBefore, NeverAnew, AllAtOneMoment, IgnoresTheNewOne, NoSecondTry, TakesOlder, SlowAfterFailure,
+    FixedWaits, NeverAnew, AllAtOneMoment, IgnoresTheNewOne, NoSecondTry, TakesOlder, SlowAfterFailure,
     AsksLateAtTheStart, LostInAMove, NoneAfterAnAnswer, DeafToTheModule])
 def test_a_fault_in_the_watch_is_told_by_the_judge(mutant: type[Watch]) -> None:
     assert any(World(day, mutant).play().broken for day in TROUBLES)
