--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,6 +11,7 @@
 import sys
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -145,6 +146,72 @@
     run(test())
 
 
+def test_a_list_that_is_indented_and_comes_a_byte_at_a_time_is_taken() -> None:
+    async def test() -> None:
+        async with Rig(list_on_request=True) as rig:
+            rig.host.discovery.watch(True)
+            _, writer = await rig.calls.get()
+            listing = {"revision": 44, "complete": False, "members": [rig.entry(0, phase="draining")]}
+            for byte in answer(json.dumps(listing, indent=4).encode()):
+                writer.write(bytes([byte]))
+                await writer.drain()
+                await asyncio.sleep(0)
+            await until(lambda: rig.host.discovery.revision == 44)
+            assert (await rig.ask()).status == 503 and rig.sent == 0
+    run(test())
+
+
+def test_an_answer_that_never_ends_holds_the_list_up_no_longer_than_a_silence(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(watch, "PUSH_WAIT_MS", 20)
+    monkeypatch.setattr(watch, "PUSH_MARGIN_MS", 20.0)
+
+    async def test() -> None:
+        async with Rig() as rig:
+            _, endless = await rig.calls.get()
+            endless.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+
+            async def go_on() -> None:
+                while not endless.transport.is_closing():
+                    endless.write(b"1\r\n \r\n")
+                    await asyncio.sleep(0.005)
+
+            task = asyncio.create_task(go_on())
+            _, writer = await rig.calls.get()
+            writer.write(rig.listing(43, False, [rig.entry(0, phase="draining")]))
+            await until(lambda: rig.host.discovery.revision == 43)
+            assert (await rig.ask()).status == 503 and rig.sent == 0
+            await task  # its connection is closed
+    run(test())
+
+
+def test_an_id_at_another_address_an_address_with_another_id_and_an_id_that_comes_back() -> None:
+    async def test() -> None:
+        async with Rig(serve_value, serve_value, list_on_request=True) as rig:
+            host, first, second = rig.host, *rig.nodes
+
+            def told(*entries: dict[str, Any]) -> None:
+                kind = ListKind.FULL if host.discovery.revision == 41 else ListKind.DELTA
+                host.discovery.revision = 42
+                host.apply(decode_listing({"revision": 42, "complete": False, "members": list(entries)}), kind)
+
+            told(rig.entry(0))
+            assert (await rig.ask()).status == 200 and (len(first.seen), len(second.seen)) == (1, 0)
+            moved = rig.entry(1, id="s-0")
+            told(moved)
+            assert (await rig.ask()).status == 200 and (len(first.seen), len(second.seen)) == (1, 1)
+            await until(lambda: not first.open)
+            told(moved | {"phase": "draining"}, rig.entry(1, id="s-9"))
+            outcomes = rig.told(Outcome)
+            assert (await rig.ask()).status == 200 and len(second.seen) == 2
+            assert [o.node for o in outcomes] == [node_id("s-9")], "the box behind it is another's now"
+            told(moved | {"phase": "removed"}, rig.entry(1, id="s-9", phase="removed"))
+            assert (await rig.ask()).status == 503 and (len(first.seen), len(second.seen)) == (1, 2)
+            told(rig.entry(0, up_since_ms=1.0))
+            assert (await rig.ask()).status == 200 and len(first.seen) == 2
+    run(test())
+
+
 def test_nothing_begins_at_a_node_that_has_begun_to_drain_whoever_asks_for_it() -> None:
     """The last check before the first byte: whatever decided to send there, the list says no."""
     async def test() -> None:
