--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -193,7 +193,8 @@
             def told(*entries: dict[str, Any]) -> None:
                 kind = ListKind.FULL if host.discovery.revision == 41 else ListKind.DELTA
                 host.discovery.revision = 42
-                host.apply(decode_listing({"revision": 42, "complete": False, "members": list(entries)}), kind)
+                listing = {"revision": 42, "complete": False, "members": list(entries)}
+                host.apply(decode_listing(listing), kind)
 
             told(rig.entry(0))
             assert (await rig.ask()).status == 200 and (len(first.seen), len(second.seen)) == (1, 0)
