--- a/tests/operations/test_handover.py
+++ b/tests/operations/test_handover.py
@@ -19,7 +19,7 @@
 from notchflow.net.succession import Link, Place, Succession
 from notchflow.operations.handover import FORMAT, HEAD, MAGIC, HandoverError, Reader, Shares, pack
 from tests.helpers import ask, make_balancer, make_settings, sends
-from tests.rig import Rig, Seen, answer, run, serve_value, until
+from tests.rig import Rig, Seen, answer, run, serve_value, stopped, until
 
 ANY = ("127.0.0.1", 0)
 
@@ -103,22 +103,6 @@
     return host
 
 
-def stopped(host: Host) -> list[bool]:
-    """Set once the process would end. It must not end the test's loop."""
-    ended: list[bool] = []
-
-    class Loop:
-        def __getattr__(self, name: str) -> Any:
-            return getattr(real, name)
-
-        def stop(self) -> None:
-            ended.append(True)
-
-    real = host.loop
-    host.loop = Loop()  # type: ignore[assignment]
-    return ended
-
-
 Test = Callable[[Rig, Path, socket.socket], Any]
 
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -126,6 +126,22 @@
             writer.transport.abort()
 
 
+def stopped(host: Host) -> list[bool]:
+    """Set once the process would end. It must not end the test's loop."""
+    ended: list[bool] = []
+
+    class Loop:
+        def __getattr__(self, name: str) -> Any:
+            return getattr(real, name)
+
+        def stop(self) -> None:
+            ended.append(True)
+
+    real = host.loop
+    host.loop = Loop()  # type: ignore[assignment]
+    return ended
+
+
 class Client:
     """A client's connection."""
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -19,7 +19,7 @@
 from notchflow.net import watch
 from notchflow.net.config import load
 from notchflow.net.discovery import decode_listing, node_id
-from tests.rig import Peer, Rig, Seen, answer, run, serve_value, until
+from tests.rig import Peer, Rig, Seen, answer, run, serve_value, stopped, until
 
 
 def test_a_watch_goes_on_from_each_answer_and_deltas_are_applied() -> None:
@@ -238,8 +238,10 @@
     run(test())
 
 
-def test_what_waits_for_a_connection_to_a_node_that_drains_goes_elsewhere() -> None:
-    """Guards against a request that begins at a draining node once its connection is up at last."""
+@pytest.mark.parametrize("ending", [False, True])
+def test_what_waits_for_a_connection_to_a_node_that_drains_goes_elsewhere(ending: bool) -> None:
+    """Guards against a request that begins at a draining node once its connection is up at last; where it is
+    `ending`, against one that SIGTERM, with the dial under way, leaves without its answer."""
     async def test() -> None:
         async with Rig(serve_value, serve_value) as rig:
             host = rig.host
@@ -259,11 +261,16 @@
                 host.pools[node].address, host.pools[node].connect_ms = address, 60_000.0
                 client.send("PUT", f"/api/{path}", b"paid", X_Call_Class="once")
                 await until(lambda: host.pools[node].dials)
+                ended = stopped(host)
+                if ending:
+                    host.stop()
                 host.apply(decode_listing({"revision": 42, "complete": False, "members": [
                     rig.entry(0, phase="draining")]}), ListKind.DELTA)
                 seen = await client.receive()
                 assert seen is not None and seen.status == 200
                 assert [len(n.seen) for n in rig.nodes] == [1, 1]
+                if ending:
+                    await until(lambda: ended)
                 for sock in waiting:
                     sock.close()
     run(test())
