--- a/notchflow/emulator/watches.py
+++ b/notchflow/emulator/watches.py
@@ -176,7 +176,6 @@
         self.verdict = Verdict()
         self.judge = Judge(self)
         self.followers = [Follower(self, number, 0) for number in range(day.proxies)]
-        self.lines: list[Line] = []
 
     def play(self) -> Verdict:
         """Goes through the day."""
