Emulator: one place for the calls that are out, and for a change's limit

Read again: the list of open calls stood four times in the world of watches, the sum of due time, grace and slack twice in its judge. Behaviour is as before; tests/emulator/test_watches.py passes unchanged.

--- a/notchflow/emulator/watches.py
+++ b/notchflow/emulator/watches.py
@@ -200,6 +200,10 @@
         sim.run(day.length_ms)
         return self.verdict
 
+    def open_lines(self) -> list[Line]:
+        """All calls that are out now."""
+        return [line for follower in self.followers for line in follower.lines.values()]
+
     # -- faults
     def change(self) -> None:
         self.revision += 1
@@ -208,7 +212,7 @@
             self.tell_all()
 
     def tell_all(self) -> None:
-        for line in [li for f in self.followers for li in f.lines.values()]:
+        for line in self.open_lines():
             if line.watching:
                 self.answer(line)
 
@@ -220,13 +224,13 @@
             self.judge.silenced(follower)
 
     def reset(self) -> None:
-        for line in [li for f in self.followers for li in f.lines.values()]:
+        for line in self.open_lines():
             line.follower.failed(line, "connection lost")
 
     def go_down(self) -> None:
         self.down = True
         if self.day.asked:
-            for line in [li for f in self.followers for li in f.lines.values() if li.watching]:
+            for line in [li for li in self.open_lines() if li.watching]:
                 self.refuse(line)
 
     def come_back(self) -> None:
@@ -235,7 +239,7 @@
 
     def move(self) -> None:
         self.place += 1
-        old = [li for f in self.followers for li in f.lines.values()]
+        old = self.open_lines()
         for follower in self.followers:
             follower.do(follower.watch.move(self.sim.now))
         for line in old:
@@ -372,8 +376,8 @@
     def _down_since(self) -> float:
         return max((start for start, _ in self.world.day.downs if start <= self.world.sim.now), default=1e18)
 
-    def _limit(self, follower: Follower, revision: int) -> float:
-        return self.due(follower, revision) + self.world.day.grace_ms + SLACK_MS
+    def _limit(self, follower: Follower, revision: int, written: bool = True) -> float:
+        return self.due(follower, revision, written) + self.world.day.grace_ms + SLACK_MS
 
     def check(self, follower: Follower, revision: int) -> None:
         """Looks again when the time allowed may be over."""
@@ -399,7 +403,6 @@
             key = follower.number, known
             if known > revision or self.written.get(key) == float("-inf"):
                 continue
-            unwritten = self.due(follower, known, False) + self.world.day.grace_ms + SLACK_MS
-            verdict.slack_ms = min(verdict.slack_ms, unwritten - now)
+            verdict.slack_ms = min(verdict.slack_ms, self._limit(follower, known, False) - now)
             verdict.age_ms = max(verdict.age_ms, now - max(made, follower.started_at))
             self.written[key] = float("-inf")
