Agreement explorer: states told apart by what they hold, not by the process's hash seed

A state was the pickled bytes of its instances, and `Raft.votes` is a set of names: the order in which it is written follows the process's hash seed and the order in which the votes came. In one process of some sixteen two names share a place in the table, and equal states were told apart.

States are now written in order, without back references. Nothing was wrong in the core that is explored.

--- a/notchflow/emulator/agreement_explorer.py
+++ b/notchflow/emulator/agreement_explorer.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import io
 import pickle
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
@@ -86,7 +87,7 @@
 def begin(scope: Scope) -> State:
     """A log that has begun, and nobody leads: all three have just been started."""
     rafts = [_raft(name, 0.0, Hard(1, "p1", True), [FIRST]) for name in NAMES]
-    return State(tuple(pickle.dumps(raft) for raft in rafts), tuple(_brief(raft) for raft in rafts),
+    return State(tuple(_kept(raft) for raft in rafts), tuple(_brief(raft) for raft in rafts),
                  ((),) * len(LINKS), scope)
 
 
@@ -96,6 +97,18 @@
     return raft
 
 
+def _kept(raft: Raft) -> bytes:
+    """An instance as bytes, the same for the same contents: whatever the order in which votes came (that of a
+    set hangs on the process's hash seed besides), and whichever of equal names is one object."""
+    raft.votes = set(sorted(raft.votes))
+    raft.tickets, raft.theirs = dict(sorted(raft.tickets.items())), dict(sorted(raft.theirs.items()))
+    file = io.BytesIO()
+    pickler = pickle.Pickler(file)
+    pickler.fast = True
+    pickler.dump(raft)
+    return file.getvalue()
+
+
 def _brief(raft: Raft) -> Brief:
     return Brief(raft.role is Role.LEADER, raft.term, raft.election_at, raft.beat_at)
 
@@ -186,7 +199,7 @@
         elif agreed[index - 1] != entry:
             found.append(f"{raft.me} has another entry at {index} than was agreed")
     cores, briefs = list(state.cores), list(state.briefs)
-    cores[who], briefs[who] = pickle.dumps(raft), _brief(raft)
+    cores[who], briefs[who] = _kept(raft), _brief(raft)
     return state._replace(cores=tuple(cores), briefs=tuple(briefs), links=tuple(links),
                           leaders=tuple(sorted(leaders.items())), agreed=tuple(agreed)), found
 
