Settings that cannot be are refused by their name in the file, with place, value and remedy

A figure of a wrong type was refused at the start as "expected Config as the wire describes it (TypeError ...)", without its name; one out of range by the library's name for it, a missing one as a KeyError; words in place of the idle time of connections as "could not convert".

`notchflow/settings.py` reads settings by the records' own types, for the simulator's adapter and the proxy's file alike, and tells faults as `Classes[0].DeadlineMs: is missing` or `Rules.AskWithinMs: must be a finite number, not 'x': write it in digits`. Listening address, discovery, console, seed, limits and the known list are named too.

--- a/notchflow/net/config.py
+++ b/notchflow/net/config.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from notchflow import wire
 from notchflow.interface import Settings
 from notchflow.net.listing import Address, Listing, decode_listing, parse_address
 from notchflow.operations.shape import Shape, missing, shape_of
+from notchflow.settings import decode, integer, number
 
 CONN_IDLE_MS = 10_000.0
 MEMORY_MB, SOCKETS = 192.0, 1024
@@ -60,7 +60,7 @@
                           "put the whole file in its place and send SIGHUP again")
     try:
         return _decode(data, env)
-    except (wire.WireError, ValueError, TypeError, AttributeError, KeyError) as error:
+    except (ValueError, TypeError, AttributeError, KeyError) as error:
         raise ConfigError(f"ROUTER_CONFIG: {path}: {error!s:.300}") from None
 
 
@@ -70,18 +70,40 @@
 
 
 def _decode(data: Mapping[str, Any], env: Mapping[str, str]) -> Config:
-    settings, report_fields = wire.decode_settings(json.dumps(data.get("settings")))
+    settings, report_fields = decode(data.get("settings"))
     limits = data.get("limits") or {}  # the platform kills over the one and refuses sockets over the other
-    seed = data.get("seed", 0)
     console, accept_fd = env.get("ROUTER_CONSOLE") or data.get("console"), env.get("ROUTER_ACCEPT_FD")
+    idle_ms = (data["settings"].get("Limits") or {}).get("ConnIdleMs", CONN_IDLE_MS)
     return Config(
         name=str(env.get("ROUTER_NAME") or data.get("name") or ""),
-        listen=parse_address(env.get("ROUTER_LISTEN") or data.get("listen")),
-        discovery=parse_address(env.get("ROUTER_DISCOVERY") or data.get("discovery")),
-        seed=int(seed, 16) if isinstance(seed, str) else int(seed),
-        settings=settings, report_fields=report_fields,
-        known=decode_listing(data["known"]) if data.get("known") else Listing(0, True, (), {}),
-        conn_idle_ms=float((data["settings"].get("Limits") or {}).get("ConnIdleMs", CONN_IDLE_MS)),
-        memory_mb=float(limits.get("memory_mb", MEMORY_MB)), sockets=int(limits.get("sockets", SOCKETS)),
-        console=parse_address(console) if console else None,
+        listen=_address(env.get("ROUTER_LISTEN") or data.get("listen"), "listen"),
+        discovery=_address(env.get("ROUTER_DISCOVERY") or data.get("discovery"), "discovery"),
+        seed=_seed(data.get("seed", 0)), settings=settings, report_fields=report_fields,
+        known=_known(data["known"]) if data.get("known") else Listing(0, True, (), {}),
+        conn_idle_ms=number(idle_ms, "Limits.ConnIdleMs"),
+        memory_mb=number(limits.get("memory_mb", MEMORY_MB), "limits.memory_mb"),
+        sockets=integer(limits.get("sockets", SOCKETS), "limits.sockets"),
+        console=_address(console, "console") if console else None,
         accept_fd=int(accept_fd) if accept_fd else None, shape=shape_of(data))
+
+
+def _address(text: object, place: str) -> Address:
+    try:
+        return parse_address(text)
+    except ValueError as error:
+        raise ValueError(f"{place}: {error}") from None
+
+
+def _known(data: object) -> Listing:
+    try:
+        return decode_listing(data)
+    except ValueError as error:
+        raise ValueError(f"known: {error}") from None
+
+
+def _seed(value: object) -> int:
+    """A text is hexadecimal."""
+    try:
+        return int(value, 16) if isinstance(value, str) else integer(value, "seed")
+    except ValueError:
+        raise ValueError(f"seed: must be hex digits in quotes or a whole number, not {value!r:.60}") from None
--- a/notchflow/wire.py
+++ b/notchflow/wire.py
@@ -4,36 +4,30 @@
 
 import json
 from collections.abc import Mapping
-from typing import Any, TypeVar
+from typing import TypeVar
 
+from notchflow import settings
 from notchflow.interface import (
     Action,
     Cancel,
     ClientGone,
-    Effect,
     Event,
     Fail,
-    Group,
-    Limits,
     ListKind,
     Member,
     Membership,
     Outcome,
     PeerMessage,
-    Prices,
     Probe,
     Probed,
     Refuse,
     Request,
-    RequestClass,
-    Rules,
     Send,
     SetTimer,
     Settings,
     State,
     Status,
     StreamStarted,
-    Tenant,
     Timer,
     Watch,
 )
@@ -41,8 +35,6 @@
 Fields = dict[str, str]
 _T = TypeVar("_T")
 
-EFFECTS = {"repeatable": Effect.SAFE, "by_key": Effect.KEYED, "once": Effect.UNSAFE}
-GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
 SCOPES = {"update": ListKind.DELTA, "replace": ListKind.FULL, "restored": ListKind.CACHED,
           "unavailable": ListKind.FAILED}
@@ -205,50 +197,8 @@
 
 def decode_settings(raw: str) -> tuple[Settings, tuple[str, ...]]:
     try:
-        data = json.loads(raw)
+        return settings.decode(json.loads(raw))
+    except settings.SettingsError as error:
+        raise WireError(f"Config: {error}") from None
     except ValueError as error:
         raise WireError(f"expected JSON in Config ({error})") from None
-    if not isinstance(data, dict):
-        raise WireError("expected a JSON object in Config")
-    try:
-        return _settings(data), tuple(str(n) for n in (data.get("Report") or {}).get("Fields") or ())
-    except (TypeError, AttributeError, KeyError) as error:
-        raise WireError(f"expected Config as the wire describes it ({error!r})") from None
-
-
-def _given(data: Mapping[str, Any], names: Mapping[str, str]) -> dict[str, Any]:
-    """The values that are there, under the library's names; the library's defaults serve for the rest."""
-    return {own: data[theirs] for own, theirs in names.items() if data.get(theirs) is not None}
-
-
-def _settings(data: Mapping[str, Any]) -> Settings:
-    classes = []
-    for c in data.get("Classes") or ():
-        given = _given(c, {"aim_ms": "ObjectiveMs", "deadline_ms": "DeadlineMs", "worth": "Points",
-                           "late_worth": "LateValue", "window_ms": "WindowMs", "stream": "Stream"})
-        classes.append(RequestClass(name=c["Name"], effect=EFFECTS[c.get("Effect", "once")],
-                                    group=GROUPS[c.get("Group", "cell")], **given))
-    family = data.get("FamilyInfo") or {}
-    kinds = data.get("Kinds") or ()
-    index = int(family.get("OriginKind", -1))
-    aside = family.get("Mode") == "aside" and 0 <= index < len(kinds)
-    rules = _given(data.get("Rules") or {}, {
-        "answer_slack_ms": "GraceToAnswerMs", "ask_within_ms": "AskWithinMs",
-        "drain_grace_ms": "DrainGraceMs", "cold_share": "ColdShare", "cold_ms": "ColdMs",
-        "overload_factor": "OverloadFactor",
-        "fall_ms": "FallMs"})
-    limits = _given(data.get("Limits") or {}, {
-        "max_attempts": "MaxAttempts", "second_copies": "SecondCopies", "cancel": "Cancel",
-        "probes": "MayProbe", "retry_after": "RetryAfter", "max_retry_after_ms": "MaxRetryAfterMs",
-        "connect_timeout_ms": "DialTimeoutMs"})
-    prices = _given(data.get("Deductions") or {}, {
-        "cross_zone": "CrossZone", "waste": "Waste", "origin": "Origin", "probe": "Probe",
-        "late_fail": "LateFail"})
-    top = _given(data, {"zone": "Az", "balancers": "PeersTotal", "over_share_worth": "OverShareWorth",
-                        "tick_ms": "GranularityMs"})
-    return Settings(
-        classes=tuple(classes), rules=Rules(**rules), limits=Limits(**limits), prices=Prices(**prices),
-        tenants=tuple(Tenant(t["Name"], float(t.get("QuotaPerS", 0.0)), float(t.get("Portion", 0.0)))
-                      for t in data.get("Tenants") or ()),
-        list_on_request=data.get("MembershipMode") == "on_request",
-        origin_kind=kinds[index] if aside else None, worth_by_work=data.get("ValueBy") == "work", **top)
--- a/tests/operations/test_settings.py
+++ b/tests/operations/test_settings.py
@@ -59,7 +59,7 @@
 
 
 @pytest.fixture
-def told(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Path:
+def written(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Path:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(FILE))
     monkeypatch.setenv("ROUTER_CONFIG", str(path))
@@ -69,13 +69,31 @@
 
 
 @pytest.mark.parametrize("fault", BROKEN)
-def test_a_broken_file_is_turned_down_whole_with_its_place(fault: str, told: Path) -> None:
+def test_a_broken_file_is_turned_down_whole_with_its_place(fault: str, written: Path) -> None:
     running = load(os.environ)
-    told.write_text(BROKEN[fault])
-    with pytest.raises(ConfigError, match=str(told)):
+    written.write_text(BROKEN[fault])
+    with pytest.raises(ConfigError, match=str(written)):
         reload(os.environ, running.shape)
 
 
+@pytest.mark.parametrize(("given", "told"), [
+    ({"listen": "here"}, "listen: expected host:port, got 'here'"),
+    ({"discovery": 8500}, "discovery: expected host:port, got 8500"),
+    ({"console": "127.0.0.1:0"}, "console: expected host:port"),
+    ({"seed": "xyz"}, "seed: must be hex digits in quotes or a whole number, not 'xyz'"),
+    ({"limits": {"sockets": "many"}}, "limits.sockets: must be a finite number, not 'many'"),
+    ({"limits": {"memory_mb": None, "sockets": 384}}, "limits.memory_mb: must be a finite number, not None"),
+    ({"known": {"revision": 1}}, "known: expected a whole number in revision"),
+    (changed(Limits={"MaxAttempts": 3, "ConnIdleMs": "10"}), "Limits.ConnIdleMs: must be a finite number"),
+    (changed(Rules={"AskWithinMs": "x"}), "Rules.AskWithinMs: must be a finite number, not 'x'"),
+])
+def test_a_figure_that_cannot_be_is_told_by_its_name(given: dict[str, Any], told: str, written: Path) -> None:
+    written.write_text(json.dumps(FILE | given))
+    with pytest.raises(ConfigError) as caught:
+        load(os.environ)
+    assert str(caught.value).startswith(f"ROUTER_CONFIG: {written}: {told}")
+
+
 def test_more_keys_and_classes_with_keys_of_their_own_are_whole() -> None:
     shape = shape_of(changed(Classes=[CLASS | {"WindowMs": 5}, CLASS | {"Name": "b"}]))
     assert missing(shape, changed(Classes=[CLASS])) == []
@@ -84,18 +102,18 @@
 
 
 def test_a_hangup_takes_a_file_over_or_leaves_all_as_it_was(
-        told: Path, caplog: pytest.LogCaptureFixture) -> None:
+        written: Path, caplog: pytest.LogCaptureFixture) -> None:
     async def test() -> None:
         async with Rig() as rig:
             rig.host.config = replace(load(os.environ), listen=rig.host.config.listen,
                                       discovery=rig.host.config.discovery)
             before = rig.host.settings
             for fault in BROKEN.values():
-                told.write_text(fault)
+                written.write_text(fault)
                 on_hangup(rig.host)
             assert rig.host.settings is before and rig.host.figures.cfg_invalid == len(BROKEN)
             assert (await rig.ask()).status == 200
-            told.write_text(json.dumps(changed(Classes=[CLASS, CLASS | {"Name": "fresh"}]) | {
+            written.write_text(json.dumps(changed(Classes=[CLASS, CLASS | {"Name": "fresh"}]) | {
                 "discovery": f"127.0.0.1:{rig.discovery.port}"}))
             assert (await rig.ask(x_call_class="fresh")).status == 503
             on_hangup(rig.host)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -104,6 +104,38 @@
     assert wire.decode_settings(json.dumps(aside))[0].origin_kind == "store"
 
 
+CLASS = {"Name": "a", "ObjectiveMs": 1, "DeadlineMs": 2}
+
+
+@pytest.mark.parametrize(("given", "told"), [
+    ({"Rules": {"AskWithinMs": "x"}}, "Rules.AskWithinMs: must be a finite number, not 'x': write it in d"),
+    ({"Rules": {"AskWithinMs": True}}, "Rules.AskWithinMs: must be a finite number, not True"),
+    ({"Rules": {"AskWithinMs": -5}}, "Rules.AskWithinMs: must be above 0, not -5.0"),
+    ({"Rules": {"ColdShare": 2}}, "Rules.ColdShare: must lie in (0, 1], is 2.0"),
+    ({"Rules": [1]}, "Rules: must be an object, not [1]: write it in { }"),
+    ({"Limits": {"MaxAttempts": 1.5}}, "Limits.MaxAttempts: must be a whole number, not 1.5"),
+    ({"Limits": {"MaxAttempts": 0}}, "Limits.MaxAttempts: must be at least 1, is 0"),
+    ({"Limits": {"Cancel": "yes"}}, "Limits.Cancel: must be true or false, not 'yes'"),
+    ({"PeersTotal": 0}, "PeersTotal: must be at least 1, is 0"),
+    ({"Az": 3}, "Az: must be a text, not 3: write it in quotes"),
+    ({"Classes": {}}, "Classes: must be a list, not {}: write it in [ ]"),
+    ({"Classes": []}, "Classes: must not be empty"),
+    ({"Classes": [CLASS, 7]}, "Classes[1]: must be an object, not 7"),
+    ({"Classes": [CLASS, CLASS]}, "Classes: holds a name twice"),
+    ({"Classes": [{"Name": "a", "ObjectiveMs": 1}]}, "Classes[0].DeadlineMs: is missing"),
+    ({"Classes": [CLASS | {"DeadlineMs": 0}]}, "Classes[0].DeadlineMs: must be above 0, not 0"),
+    ({"Classes": [CLASS | {"Effect": "often"}]}, "Classes[0].Effect: must be one of repeatable, by_key"),
+    ({"Tenants": [{"Name": "t", "QuotaPerS": "much"}]}, "Tenants[0].QuotaPerS: must be a finite number, not"),
+    ({"Tenants": [None]}, "Tenants[0]: must be an object, not None"),
+    ({"Kinds": "box"}, "Kinds: must be a list, not 'box'"),
+    ({"Report": {"Fields": [1]}}, "Report.Fields: must be a text, not 1"),
+])
+def test_settings_that_cannot_be_are_told_with_place_and_value(given: dict[str, Any], told: str) -> None:
+    with pytest.raises(wire.WireError) as caught:
+        wire.decode_settings(json.dumps({"Classes": [CLASS]} | given))
+    assert str(caught.value).startswith("Config: " + told)
+
+
 @pytest.mark.parametrize(("make", "field"), [
     (lambda: Settings(classes=()), "Settings.classes"),
     (lambda: RequestClass("a", 0, 10), "RequestClass.aim_ms"),
@@ -182,7 +214,7 @@
     ("tick\tTimeMs=soon\n", 1, "expected a number in TimeMs"),
     ("tick\tTimeMs=1\nselect\tI=proxy_0\nask\tMsgId=1\n", 3, "expected a running instance"),
     ("tick\tTimeMs=1\nselect\tI=p\nattach\tRngSeed=1\tConfig={\n", 3, "expected JSON in Config"),
-    ("tick\tTimeMs=1\nselect\tI=p\nattach\tRngSeed=1\tConfig={}\n", 3, "Settings.classes"),
+    ("tick\tTimeMs=1\nselect\tI=p\nattach\tRngSeed=1\tConfig={}\n", 3, "Config: Classes: must not be empty"),
     (f"tick\tTimeMs=1\nselect\tI=p\nattach\tRngSeed=1\tConfig={json.dumps(CONFIG)}\nnovel\tA=1\n",
      4, "novel"),
     (f"tick\tTimeMs=1\nselect\tI=p\nattach\tRngSeed=1\tConfig={json.dumps(CONFIG)}\nanswer\tMsgId=1\tHop=0\t"
