Whole proxies in simulated time: every first and last byte held to when a change counts as told

What a proxy has been told was explored for the watch alone; the pools and the module behind it were held by tests on sockets, one order of events each.

`emulator/wires.py` is an asyncio loop on the simulator's clock and a network in memory; `sends.py` runs the real host, pools, discovery's edge, watch and module on it (the host takes a clock; nothing else in it changed), with three nodes that refuse, reset and close now and then, dials of up to 200 ms and bodies that take 300 ms. The judge of `watches` says when each change counts as told; each byte that begins or ends a request is held to it, as are one final answer and no exception in the loop.

Six mutants, each told in both ways of discovery, the watch of before among them.

--- a/notchflow/emulator/watches.py
+++ b/notchflow/emulator/watches.py
@@ -108,6 +108,16 @@
             if isinstance(action, SetTimer) and action.token == "watch":
                 self.world.sim.at(action.at, self.timer)
 
+    def move(self) -> None:
+        """SIGHUP: discovery is elsewhere."""
+        self.do(self.watch.move(self.world.sim.now))
+
+    def end(self) -> None:
+        """The process is killed."""
+        self.alive = False
+        for line in list(self.lines.values()):
+            self.close(line)
+
     def timer(self) -> None:
         if self.alive:
             self.do(self.watch.want(self.world.sim.now, True))
@@ -161,10 +171,7 @@
     def __init__(self, day: Day, make: Maker = Watch) -> None:
         self.day, self.make = day, make
         self.sim = Simulator()
-        rules = Rules(ask_within_ms=day.ask_within_ms, drain_grace_ms=day.grace_ms)
-        self.settings = Settings(
-            classes=(RequestClass("read", 300, 1_000),), zone="a", balancers=day.proxies, limits=Limits(),
-            list_on_request=day.asked, rules=rules)
+        self.settings = self.deployment(Rules(ask_within_ms=day.ask_within_ms, drain_grace_ms=day.grace_ms))
         self.revision = 0
         self.place = 0
         self.down = False
@@ -175,7 +182,16 @@
         self.answered_at: dict[int, float] = {}
         self.verdict = Verdict()
         self.judge = Judge(self)
-        self.followers = [Follower(self, number, 0) for number in range(day.proxies)]
+        self.followers = [self.begin(number) for number in range(day.proxies)]
+
+    def deployment(self, rules: Rules) -> Settings:
+        """What every proxy is told at its start."""
+        return Settings(classes=(RequestClass("read", 300, 1_000),), zone="a", balancers=self.day.proxies,
+                        limits=Limits(), list_on_request=self.day.asked, rules=rules)
+
+    def begin(self, number: int) -> Follower:
+        """A proxy's process starts, with the first list."""
+        return Follower(self, number, 0)
 
     def play(self) -> Verdict:
         """Goes through the day."""
@@ -241,16 +257,13 @@
         self.place += 1
         old = self.open_lines()
         for follower in self.followers:
-            follower.do(follower.watch.move(self.sim.now))
+            follower.move()
         for line in old:
             self.sim.after(OLD_CLOSES_MS, line.follower.failed, line, "connection lost")
 
     def restart(self, number: int) -> None:
-        follower = self.followers[number]
-        follower.alive = False
-        for line in list(follower.lines.values()):
-            follower.close(line)
-        self.followers[number] = Follower(self, number, 0)
+        self.followers[number].end()
+        self.followers[number] = self.begin(number)
         self.judge.restarted(self.followers[number])
 
     # -- calls
@@ -376,7 +389,8 @@
     def _down_since(self) -> float:
         return max((start for start, _ in self.world.day.downs if start <= self.world.sim.now), default=1e18)
 
-    def _limit(self, follower: Follower, revision: int, written: bool = True) -> float:
+    def limit(self, follower: Follower, revision: int, written: bool = True) -> float:
+        """By when it must be acted on."""
         return self.due(follower, revision, written) + self.world.day.grace_ms + SLACK_MS
 
     def check(self, follower: Follower, revision: int) -> None:
@@ -384,7 +398,7 @@
         known = follower.watch.revision
         if not follower.alive or (known is not None and known >= revision):
             return
-        limit, now = self._limit(follower, revision), self.world.sim.now
+        limit, now = self.limit(follower, revision), self.world.sim.now
         if limit <= now:
             self.world.verdict.slack_ms = min(self.world.verdict.slack_ms, limit - now)
             made = self.made_at[revision]
@@ -403,6 +417,6 @@
             key = follower.number, known
             if known > revision or self.written.get(key) == float("-inf"):
                 continue
-            verdict.slack_ms = min(verdict.slack_ms, self._limit(follower, known, False) - now)
+            verdict.slack_ms = min(verdict.slack_ms, self.limit(follower, known, False) - now)
             verdict.age_ms = max(verdict.age_ms, now - max(made, follower.started_at))
             self.written[key] = float("-inf")
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -71,9 +71,10 @@
 class Host:
     """One proxy."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, door: Door | None = None) -> None:
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, door: Door | None = None,
+                 clock: Clock | None = None) -> None:
         self.config, self.loop = config, loop
-        self.clock = Clock(loop)
+        self.clock = clock or Clock(loop)
         self.balancer = Balancer(config.settings, config.seed, self.clock.now())
         self.idle_limit = IdleLimit(config.conn_idle_ms)
         self.open: dict[int, Open] = {}
--- /dev/null
+++ b/tests/emulator/test_sends.py
@@ -0,0 +1,203 @@
+"""From the list to the last byte: whole proxies in simulated time, held to when a change counts as told."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from notchflow.emulator.engine import Simulator
+from notchflow.emulator.fixed_waits import FixedWaits
+from notchflow.emulator.send_explorer import PLANS, explore, placed, play
+from notchflow.emulator.sends import Sends, WatchedHost
+from notchflow.emulator.watches import Day
+from notchflow.emulator.wires import Loop, Pipe
+from notchflow.interface import Event, ListKind, Membership, State
+from notchflow.net.listing import Listing
+from notchflow.net.upstream import Connection, Pool
+
+LONG = bool(os.environ.get("NOTCHFLOW_LONG"))
+MOMENTS = {True: (6_000.0, 31_000.0, 12_000.0), False: (1_500.0, 6_000.0, 12_000.0)}
+
+
+@pytest.fixture(autouse=True)
+def quiet() -> Iterator[None]:
+    logging.disable()
+    yield
+    logging.disable(logging.NOTSET)
+
+
+@pytest.mark.parametrize("asked", [True, False])
+def test_no_byte_goes_to_a_node_that_left_after_it_was_told_and_the_grace(asked: bool) -> None:
+    """Every placing; of those on two moments each ninth where it must be quick."""
+    days = list(placed(asked, MOMENTS[asked] if LONG else MOMENTS[asked][:2]))[::1 if LONG else 9]
+    requests, broken = explore(days)
+    assert len(days) == (7_680 if LONG else 108) and requests > 800 * len(days)
+    assert broken == []
+
+
+LAST = (12_000.0, 12_250.0, 12_500.0, 12_750.0)  # of the last change: a dial is not always under way
+
+
+def day(asked: bool, last: float = LAST[0], **faults: Any) -> Day:
+    """Silent watches where lists are asked for, one that is reset where they are pushed."""
+    troubles = {"silences": (5_990.0,)} if asked else {"resets": (8_900.0,)}
+    return Day(proxies=2, asked=asked, all_call_ms=3_000.0, length_ms=50_000.0 if asked else 20_000.0,
+               **{"changes": (6_000.0, 8_905.0, last)} | troubles | faults)
+
+
+def test_a_day_is_the_same_each_time() -> None:
+    worlds = [Sends(day(False), PLANS[1]) for _ in range(2)]
+    assert [w.judged() for w in worlds] == [[], []]
+    first, second = ((w.requests, w.answers, w.served, w.sim.count) for w in worlds)
+    assert first == second and first[0] > 400 and first[1][200] > 300
+
+
+class Deaf(WatchedHost):
+    """Follows the list as it did before watches were opened anew."""
+
+    def __init__(self, *args: Any, **more: Any) -> None:
+        super().__init__(*args, **more)
+        self.discovery.watching = FixedWaits(
+            self.config.known.revision, self.settings.list_on_request, self.config.seed, self.settings.rules)
+
+
+class DrainIsUp(WatchedHost):
+    def apply(self, listing: Listing, kind: ListKind) -> None:
+        members = tuple(replace(m, state=State.READY) if m.state is State.DRAINING else m
+                        for m in listing.members)
+        super().apply(replace(listing, members=members), kind)
+
+
+class NodesStay(WatchedHost):
+    """The pools know of changes, the module does not."""
+
+    def tell(self, event: Event) -> None:
+        if not isinstance(event, Membership) or event.kind is not ListKind.DELTA:
+            super().tell(event)
+
+
+class AddressStays(WatchedHost):
+    def apply(self, listing: Listing, kind: ListKind) -> None:
+        addresses = dict(listing.addresses or {})
+        for node, pool in self.pools.items():
+            if node in addresses:
+                addresses[node] = pool.address
+        super().apply(replace(listing, addresses=addresses), kind)
+
+
+def unchecked_send(pool: Pool, exchange: Any, now: float) -> None:
+    retired, pool.retired = pool.retired, False
+    SEND(pool, exchange, now)
+    pool.retired = retired
+
+
+def unchecked_opened(pool: Pool, connection: Connection) -> None:
+    retired, pool.retired = pool.retired, False
+    OPENED(pool, connection)
+    pool.retired = retired
+
+
+def unchecked_release(pool: Pool, connection: Connection) -> None:
+    retired, pool.retired = pool.retired, False
+    RELEASE(pool, connection)
+    pool.retired = retired
+
+
+def nothing(*_: object) -> None: ...
+
+
+SEND, OPENED, RELEASE = Pool.send, Pool.opened, Pool.release
+
+MUTANTS: dict[str, tuple[type[WatchedHost], dict[str, Callable[..., Any]], dict[str, Any]]] = {
+    "the watch of before": (Deaf, {}, {}),
+    "a drain is taken for up": (DrainIsUp, {}, {}),
+    "the module is not told, and pools begin where they are retired": (
+        NodesStay, {"send": unchecked_send, "opened": unchecked_opened}, {}),
+    "dials go on, and what has come up begins": (
+        WatchedHost, {"undial": nothing, "opened": unchecked_opened}, {"grace_ms": 100.0, "silences": ()}),
+    "kept connections stay, module and pool know nothing": (
+        NodesStay, {"send": unchecked_send, "retire": nothing, "release": unchecked_release}, {}),
+    "an id that moves keeps its old address": (AddressStays, {}, {}),
+}
+
+
+@pytest.mark.parametrize("asked", [True, False])
+@pytest.mark.parametrize("name", MUTANTS)
+def test_a_fault_between_the_list_and_the_first_byte_is_told(
+        name: str, asked: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    host, patches, faults = MUTANTS[name]
+    for method, patch in patches.items():
+        monkeypatch.setattr(Pool, method, patch)
+    for last in LAST:
+        found = [text for plan in PLANS for text in play((day(asked, last, **faults), plan), host)[1]]
+        if any("a request" in text for text in found):
+            return
+    pytest.fail("nothing of it was told")
+
+
+@pytest.mark.parametrize("asked", [True, False])
+def test_the_same_days_hold_without_a_fault(asked: bool) -> None:
+    troubles: tuple[dict[str, Any], ...] = ({}, {"grace_ms": 100.0, "silences": ()})
+    for faults in troubles:
+        assert [play((day(asked, **faults), plan))[1] for plan in PLANS] == [[]] * len(PLANS)
+
+
+class Far(asyncio.Protocol):
+    def __init__(self) -> None:
+        self.heard: list[bytes] = []
+        self.lost = False
+
+    def data_received(self, data: bytes) -> None:
+        self.heard.append(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
+
+
+class Net:
+    def __init__(self) -> None:
+        self.far: list[Far] = []
+
+    def dial_ms(self, loop: Loop, address: tuple[str, int]) -> float | None:
+        return None if address[1] == 9 else 5.0
+
+    def served_by(self, loop: Loop, address: tuple[str, int]) -> asyncio.Protocol:
+        self.far.append(Far())
+        return self.far[-1]
+
+
+def test_the_simulated_loop_dials_refuses_delivers_in_order_and_dies() -> None:
+    sim, net = Simulator(), Net()
+    loop = Loop(sim, net)  # type: ignore[abstract]
+    told: list[str] = []
+
+    async def dial(port: int) -> None:
+        try:
+            pipe, near = await loop.create_connection(Far, "node", port)
+            assert isinstance(pipe, Pipe)
+            pipe.write(b"one")
+            pipe.writelines([b"two", b"three"])
+            told.append(f"up at {loop.time() * 1e3:.0f}")
+        except ConnectionRefusedError:
+            told.append("refused")
+
+    loop.create_task(dial(1))
+    loop.create_task(dial(9))
+    loop.call_later(0.003, told.append, "later")
+    loop.call_later(0.004, told.append, "never").cancel()
+    given_up = loop.create_task(dial(2))
+    loop.call_later(0.002, given_up.cancel)
+    sim.run(50.0)
+    assert told == ["refused", "later", "up at 5"]
+    assert [far.heard for far in net.far] == [[b"one", b"twothree"]] and not net.far[0].lost
+    loop.call_later(0.001, told.append, "after the end")
+    loop.kill()
+    sim.run(100.0)
+    assert net.far[0].lost and told[-1] == "up at 5" and not loop.pipes
+
