Members: the address book follows a name that moves

A book of addresses leads to where a name was when the file was written. Where the older of two instances of the name still ran there, the newer one was answered by nobody: probes went to the older, it was suspected and held dead, refuted by exchanges, and the name passed to and fro (known limit of docs/design/cluster.md).

`cluster/places.py` `Book`: the book goes first, as it alone may know of a relay, until a message of the name's present life comes straight from the place that this life says it is at; from then on that place holds, until the name moves again.

Shown: two living instances of a name, the book leading to the older: for 6 s the newer one is alive to the other member and never has to refute; without the mend it is suspected within that time. tests/cluster/test_edge.py.

--- a/notchflow/cluster/edge.py
+++ b/notchflow/cluster/edge.py
@@ -35,7 +35,7 @@
     unseal,
 )
 from notchflow.cluster.model import Life
-from notchflow.cluster.places import Place, family, place
+from notchflow.cluster.places import Book, Place, family, place
 from notchflow.cluster.standpoint import Sender
 from notchflow.net.listing import parse_address
 
@@ -58,7 +58,7 @@
                  book: Mapping[str, str], keep: Callable[[Life], None], tell: Callable[[Tell], None]) -> None:
         self.loop, self.core, self.secret = loop, core, secret
         self.listen = parse_address(listen)
-        self.book = {name: at for name, text in book.items() if (at := place(text)) is not None}
+        self.book = Book(book)
         self.keep, self.tell = keep, tell
         self.counter = 0
         self.windows: dict[str, tuple[Life, Window]] = {}
@@ -121,7 +121,7 @@
         for action in actions:
             match action:
                 case Datagram(name, address, body, _):
-                    at = self._place(name, address)
+                    at = self.book.at(name, address)
                     if at is not None:
                         self._send(at, name, body)
                 case Exchange(name, address, body):
@@ -136,7 +136,7 @@
         """As `_do`, where a datagram from a place led to it: what answers it goes back there, unless the book
         says where its sender is reached."""
         for action in actions:
-            if isinstance(action, Datagram) and action.back and action.name not in self.book:
+            if isinstance(action, Datagram) and action.back and action.name not in self.book.given:
                 self._send(source, action.name, action.body)
             else:
                 self._do((action,))
@@ -164,8 +164,10 @@
         self._do(self.core.tick(now))
 
     # -- what goes out
-    def _place(self, name: str, address: str) -> Place | None:
-        return self.book.get(name) or place(address)
+    def _said(self, name: str) -> str:
+        """Where a member says that it is, if anything is known of it."""
+        record = self.core.view.get(name)
+        return record.address if record is not None else ""
 
     def _sealed(self, to: str, body: Message) -> bytes:
         self.counter += 1
@@ -240,7 +242,11 @@
             if handler is not None:
                 self._handle(handler, sender, envelope.body, source)
                 return
-            self._answer(self.core.received(self.now(), sender, envelope.body), source)
+            actions = self.core.received(self.now(), sender, envelope.body)
+            record = self.core.view.get(sender.name)
+            if record is not None and record.life == sender.life:
+                self.book.heard(sender.name, record.address, source)
+            self._answer(actions, source)
 
     def _handle(self, handler: Callable[[float, Sender, Message], Message | None], sender: Sender,
                 body: Message, source: Place | None) -> None:
@@ -251,15 +257,14 @@
         answer = handler(self.now(), sender, body)
         if answer is None:
             return
-        if source is None:
+        if source is None or sender.name in self.book.given:
             self.send(sender.name, answer)
         else:
-            self._send(self.book.get(sender.name, source), sender.name, answer)
+            self._send(source, sender.name, answer)
 
     def send(self, name: str, body: Message) -> None:
         """Says something to a member, if it is known where it is."""
-        record = self.core.view.get(name)
-        at = self._place(name, record.address if record is not None else "")
+        at = self.book.at(name, self._said(name))
         if at is not None:
             self._send(at, name, body)
 
@@ -343,7 +348,7 @@
             sock.close()
 
     def _open(self, name: str, address: str, body: Message) -> None:
-        at = self._place(name, address) if name else place(address)
+        at = self.book.at(name, address) if name else place(address)
         if at is None or self.asking >= ASKED_MAX:
             return
         self.asking += 1
--- a/notchflow/cluster/places.py
+++ b/notchflow/cluster/places.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Mapping
 from functools import lru_cache
 from typing import TypeAlias
 
@@ -24,3 +25,29 @@
 
 def family(host: str) -> socket.AddressFamily:
     return socket.AF_INET6 if ":" in host else socket.AF_INET
+
+
+class Book:
+    """Where members are reached: by the operators' book, else where they say they are.
+
+    The book goes first, as it alone may know what lies between two members (a relay, an address for
+    each side). It ends for a name that moves: once a message of the name's present life comes
+    straight from the place that this life says it is at, that place is right, and the book's is a
+    former one.
+    """
+
+    def __init__(self, given: Mapping[str, str]) -> None:
+        self.given = {name: at for name, text in given.items() if (at := place(text)) is not None}
+        self.straight: dict[str, Place] = {}
+
+    def heard(self, name: str, address: str, source: Place) -> None:
+        """A message of the name's present life, which says that it is at this address, came from there."""
+        if name in self.given and place(address) == source:
+            self.straight[name] = source
+
+    def at(self, name: str, address: str) -> Place | None:
+        """Where to send; `address`: what the name says of itself, if anything is known of it."""
+        said = place(address)
+        if said is not None and self.straight.get(name) == said:
+            return said
+        return self.given.get(name) or said
--- a/tests/cluster/test_edge.py
+++ b/tests/cluster/test_edge.py
@@ -21,6 +21,7 @@
 from notchflow.cluster.members import Members
 from notchflow.cluster.messages import DATAGRAM_MAX, Envelope, Gossip, Ping, Update, seal
 from notchflow.cluster.model import Life, Record, Settings, Standing, State
+from notchflow.cluster.places import Book
 from standins.ports import lasting_ports
 
 SECRET = b"s" * 32
@@ -86,6 +87,47 @@
     asyncio.run(test())
 
 
+def test_the_book_follows_a_name_that_moves() -> None:
+    """p0's book leads to p1's former place, where the older instance still runs: the newer one, elsewhere, is
+    reached where it says that it is, and is never held dead."""
+    async def test() -> None:
+        async with Pair() as pair:
+            await pair.until(pair.whole)
+            old, new_port = pair.edges[1], lasting_ports(1)[0]
+            pair.edges[0].book = Book({"p1": pair.at(1)})
+            me = Record("p1", Life(11, 1), 0, State.ALIVE, f"127.0.0.1:{new_port}", "1")
+            core = Members(me, ("p0", "p1"), Settings(), random.Random(3), [pair.at(0)])
+            new = Edge(old.loop, core, SECRET, me.address, {"p0": pair.at(0)}, lambda life: None,
+                       pair.told.append)
+            pair.edges.append(new)
+            new.bind()
+            new.start()
+            known = pair.edges[0].core.view
+            await pair.until(lambda: (held := known.get("p1")) is not None and held.life == me.life)
+            states, until = set(), pair.edges[0].now() + 6_000.0  # past every time to suspect and to bury
+            while pair.edges[0].now() < until:
+                states.add(known.state("p1"))
+                await asyncio.sleep(0.01)
+            assert states == {State.ALIVE} and new.core.takes() and not old.core.takes()
+            assert new.core.tenure.life == Life(11, 1), "it never had to refute"
+            assert pair.edges[0].book.at("p1", me.address) == ("127.0.0.1", new_port)
+
+    asyncio.run(test())
+
+
+def test_the_book_goes_first_but_for_who_is_heard_straight_from_where_it_says_it_is() -> None:
+    book = Book({"a": "127.0.0.1:1", "b": "nowhere:2"})
+    assert book.at("a", "127.0.0.1:5") == ("127.0.0.1", 1), "what it says of itself may not be reachable"
+    book.heard("a", "127.0.0.1:5", ("127.0.0.1", 900))  # by a relay
+    assert book.at("a", "127.0.0.1:5") == ("127.0.0.1", 1)
+    book.heard("a", "127.0.0.1:5", ("127.0.0.1", 5))
+    assert book.at("a", "127.0.0.1:5") == ("127.0.0.1", 5)
+    assert book.at("a", "127.0.0.1:6") == ("127.0.0.1", 1), "it moves on, and is not heard yet"
+    book.heard("c", "127.0.0.1:7", ("127.0.0.1", 7))
+    assert book.at("c", "") is None and book.straight.keys() == {"a"}, "of others nothing is kept"
+    assert book.at("b", "127.0.0.1:3") == ("127.0.0.1", 3) and book.at("b", "x") is None
+
+
 def test_another_secret_is_told_and_neither_takes_the_other_for_a_member() -> None:
     async def test() -> None:
         async with Pair((SECRET, b"o" * 32)) as pair:
