Members: the book is followed until a known name has moved, relays one way included

A relay may stand one way alone (the shared page's address book): whoever is heard straight is not thereby to be sent to straight, or the fault that a relay plays would be passed by. The place that a name says it is at now takes the book's place only where the name first said another one here, and is heard straight from the new one.

tests/cluster/test_edge.py: one-way relay, moved behind a relay, moved and heard, moved on, back. What is left: an instance that starts after the move with an old book (docs/design/cluster.md).

--- a/notchflow/cluster/places.py
+++ b/notchflow/cluster/places.py
@@ -30,19 +30,21 @@
 class Book:
     """Where members are reached: by the operators' book, else where they say they are.
 
-    The book goes first, as it alone may know what lies between two members (a relay, an address for
-    each side). It ends for a name that moves: once a message of the name's present life comes
-    straight from the place that this life says it is at, that place is right, and the book's is a
-    former one.
+    The book goes over what they say: it alone may know what lies between two members (a relay, an address for
+    each side, one way or both). It ends for a name that moves: once a message of its present life, which says
+    that it is elsewhere than the first life heard of here, comes straight from there. The book's place is a
+    former life's then. Who is heard straight but has not moved is still sent to by the book.
     """
 
     def __init__(self, given: Mapping[str, str]) -> None:
         self.given = {name: at for name, text in given.items() if (at := place(text)) is not None}
-        self.straight: dict[str, Place] = {}
+        self.first: dict[str, str] = {}  # where each of the book's names first said that it is
+        self.straight: dict[str, Place] = {}  # where those that moved were heard from
 
     def heard(self, name: str, address: str, source: Place) -> None:
-        """A message of the name's present life, which says that it is at this address, came from there."""
-        if name in self.given and place(address) == source:
+        """A message of the name's present life, which says that it is at this address, came from a place."""
+        moved = name in self.given and self.first.setdefault(name, address) != address
+        if moved and place(address) == source:
             self.straight[name] = source
 
     def at(self, name: str, address: str) -> Place | None:
