Members: two fleets with one address by mistake, and a wall clock that steps, as tests

Both were hard cases of the members' issue without a test of their own. A second fleet whose seeds and book lead into the first stays apart under the same and under another secret, each keeps its standing, and the mistake is told; steps of an hour both ways change neither lives nor standings.

--- a/tests/cluster/test_edge.py
+++ b/tests/cluster/test_edge.py
@@ -7,6 +7,7 @@
 import random
 import shutil
 import socket
+import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -142,6 +143,55 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("secret", [SECRET, b"o" * 32])
+def test_two_fleets_that_have_one_address_by_mistake_stay_two(secret: bytes) -> None:
+    """The second fleet's seeds and book lead into the first one; each is whole, and the mistake is told."""
+    async def test() -> None:
+        async with Pair() as pair:
+            ports = lasting_ports(2)
+            for number, port in enumerate(ports):
+                me = Record(f"q{number}", Life(10, number), 0, State.ALIVE, f"127.0.0.1:{port}", "1")
+                seeds = [pair.at(0), f"127.0.0.1:{ports[0]}", f"127.0.0.1:{ports[1]}"]
+                core = Members(me, ("q0", "q1", "q2"), Settings(), random.Random(9 + number), seeds)
+                pair.edges.append(Edge(pair.edges[0].loop, core, secret, me.address, {"q2": pair.at(1)},
+                                       lambda life: None, pair.told.append))
+                pair.edges[-1].bind()
+                pair.edges[-1].start()
+            own, others = pair.edges[:2], pair.edges[2:]
+            two = {Standing.WHOLE: own, Standing.MAJORITY: others}
+
+            def apart() -> bool:
+                return all(e.core.standing(e.now()) is standing for standing, of in two.items() for e in of)
+
+            await pair.until(lambda: apart() and bool(pair.kinds() & {"stranger", "foreign"}))
+            end = own[0].now() + 1_500.0
+            while own[0].now() < end:
+                await asyncio.sleep(0.01)
+                assert apart()
+            assert [sorted(e.core.view.present()) for e in own] == [["p1"], ["p0"]]
+            assert [sorted(e.core.view.present()) for e in others] == [["q1"], ["q0"]]
+
+    asyncio.run(test())
+
+
+def test_a_wall_clock_that_steps_an_hour_changes_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with Pair() as pair:
+            await pair.until(pair.whole)
+            lives = [edge.core.tenure.life for edge in pair.edges]
+            wall = time.time
+            for step in (3_600.0, -3_600.0, 0.0):
+                monkeypatch.setattr(time, "time", lambda by=step: wall() + by)
+                end = pair.edges[0].now() + 700.0
+                while pair.edges[0].now() < end:
+                    await asyncio.sleep(0.01)
+                    assert pair.whole()
+            assert [edge.core.tenure.life for edge in pair.edges] == lives
+            assert [edge.core.living() for edge in pair.edges] == [2, 2]
+
+    asyncio.run(test())
+
+
 def test_what_is_forged_replayed_too_long_or_of_another_version_changes_nothing() -> None:
     async def test() -> None:
         async with Pair() as pair:
