Figures by class over the whole fleet: GET /v1/cluster and notchflow cluster figures

Figures of the fleet were by tenant alone: whether a class of requests is refused or fails somewhere could be seen instance by instance only.

The ledger of counts has rows of classes beside those of tenants, under keys that no tenant's name can have, with counters and gauges in the same places: what is open goes with its life, the rest stays. Each instance tells its own each half second, where they have changed.

Shown in tests/cluster/test_counts.py (three ledgers, one started anew) and on three real processes, one of them killed and started again: six requests at three instances are six at each.

--- a/notchflow/admin/cluster_client.py
+++ b/notchflow/admin/cluster_client.py
@@ -32,6 +32,7 @@
     watch = calls.add_parser("watch", help="the same, as it changes")
     watch.add_argument("--seconds", type=float, default=0.0, help="end after so long (default: at Ctrl-C)")
     calls.add_parser("versions", help="the rules that the fleet agrees on, as this instance has them")
+    calls.add_parser("figures", help="requests by class over the whole fleet")
     told = calls.add_parser("history", help="histories of instances, merged into one")
     told.add_argument("files", type=Path, nargs="+", help="the files that cluster.history names")
     told.add_argument("--most", type=int, default=0, help="only so many of the last lines")
@@ -50,6 +51,8 @@
         found = client.call("GET", "/v1/cluster")
         if options.call == "versions":
             return _versions(found, options.json)
+        if options.call == "figures":
+            return _figures(found, options.json)
         _show(found, options.json)
     except NoToken as error:
         print(f"notchflow cluster: {error}", file=sys.stderr)
@@ -96,6 +99,28 @@
     return 0
 
 
+def _figures(found: dict[str, Any], as_json: bool) -> int:
+    """1: this instance knows its own figures alone."""
+    figures = found.get("figures")
+    if figures is None:
+        print("notchflow cluster: each instance counts by itself; set cluster.limits = \"fleet\"",
+              file=sys.stderr)
+        return 1
+    if as_json:
+        show(figures, True)
+        return 0
+    missing = ", ".join(figures["missing"]) or "nobody"
+    made = Table(title="requests by class, all instances",
+                 caption=f"the oldest part is {figures['age_ms'] / 1e3:g} s old; missing: {missing}")
+    names = ("fulfilled", "throttled", "faulted", "departed", "relayed", "open")
+    for name in ("class", *names):
+        made.add_column(name, justify="left" if name == "class" else "right")
+    for name, values in figures["classes"].items():
+        made.add_row(name, *(str(values[column]) for column in names))
+    Console().print(made)
+    return 0
+
+
 def _show(found: dict[str, Any], as_json: bool) -> None:
     if as_json:
         show(found, True)
--- a/notchflow/admin/models.py
+++ b/notchflow/admin/models.py
@@ -233,6 +233,25 @@
     peers: dict[str, int] = Field(description="of a leader: up to where each of the others has the log")
 
 
+class ClassFigures(BaseModel):
+    """What became of a class's requests."""
+
+    fulfilled: int
+    throttled: int
+    faulted: int
+    departed: int = Field(description="their client had gone")
+    relayed: int = Field(description="attempts written whole to a box")
+    open: int
+
+
+class FleetFigures(BaseModel):
+    """Requests by class over the whole fleet, as far as they have come to this instance."""
+
+    classes: dict[str, ClassFigures]
+    age_ms: float = Field(description="of the oldest part")
+    missing: list[str] = Field(description="instances not heard lately: what they counted since is not in it")
+
+
 class ClusterView(BaseModel):
     """The fleet, as this instance sees it."""
 
@@ -247,6 +266,7 @@
     disagreements: list[str]
     view: str = Field(description="equal where two instances hold the same of all members")
     rules: RulesView | None = Field(None, description="the rules that all agree on; null: each its own")
+    figures: FleetFigures | None = Field(None, description="null where limits are each instance's own")
 
 
 class EventView(BaseModel):
--- a/notchflow/cluster/counts.py
+++ b/notchflow/cluster/counts.py
@@ -1,4 +1,4 @@
-"""Figures by tenant that all instances know of one another. Pure.
+"""Figures by tenant and by class that all instances know of one another. Pure.
 
 Each life of an instance counts for itself, and its figures only ever change by itself: a copy of them is as
 good as its version, and joining two copies takes the later one (a state-based CRDT, one register by instance,
@@ -18,7 +18,10 @@
 
 FIGURES: Final = ("asked", "served", "failed", "rate", "in-hand", "bytes-held", "share", "capacity", "module",
                   "open", "held")
-GAUGES: Final = 2  # the last of them: gone with their life
+CLASS_FIGURES: Final = ("fulfilled", "throttled", "faulted", "departed", "relayed", "", "", "", "",
+                        "open", "")
+CLASS: Final = "class/"  # before the name of a class; no tenant's name has the mark
+GAUGES: Final = 2  # the last places of a row: gone with their life
 ROWS_A_MESSAGE: Final = 8
 MESSAGES_A_TICK: Final = 2  # to one member
 TENANTS_MAX: Final = 10_000  # of one instance; more are not told of
@@ -51,7 +54,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Sum:
-    """The fleet's figures of a tenant: values by name, how old the oldest part is (ms), who is not in it."""
+    """The fleet's figures of a tenant or a class: values by name, how old the oldest part is (ms), who is not
+    in it."""
 
     values: Mapping[str, int]
     age_ms: float
@@ -143,9 +147,15 @@
             self.acked[sender] = life, min(body.version, self.version)
 
     # -- what is known
+    def classes(self) -> list[str]:
+        """The names of all classes that anybody has counted."""
+        copies = self.copies.values()
+        keys = {*self.own, *(key for copy in copies for key in (*copy.rows, *copy.past))}
+        return sorted(key.removeprefix(CLASS) for key in keys if key.startswith(CLASS))
+
     def sum(self, now: float, tenant: str, left: frozenset[str], fresh_ms: float) -> Sum:
-        """The fleet's figures. Missing is who has not left and was not heard for longer than `fresh_ms`: its
-        last figures are in the sum, what it counted since is not."""
+        """The fleet's figures of a tenant, or of a class by its key. Missing is who has not left and was not
+        heard for longer than `fresh_ms`: its last figures are in the sum, what it counted since is not."""
         total, age, missing = self.own.get(tenant, ZERO), 0.0, []
         for name, copy in self.copies.items():
             total = added(total, added(copy.rows.get(tenant, ZERO), copy.past.get(tenant, ZERO)))
@@ -156,7 +166,8 @@
                 missing.append(name)
             else:
                 age = max(age, old)
-        return Sum(dict(zip(FIGURES, total, strict=True)), age, tuple(missing))
+        names = CLASS_FIGURES if tenant.startswith(CLASS) else FIGURES
+        return Sum({name: n for name, n in zip(names, total, strict=True) if name}, age, tuple(missing))
 
 
 def fitted(values: tuple[int, ...]) -> Values:
--- a/notchflow/hosting/membership.py
+++ b/notchflow/hosting/membership.py
@@ -7,7 +7,7 @@
 import os
 import secrets
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from importlib.metadata import PackageNotFoundError, version
 from pathlib import Path
 from random import Random
@@ -27,6 +27,7 @@
 from notchflow.hosting.schema import ClusterModel
 from notchflow.hosting.shared_limits import TERMS, SharedLimits
 from notchflow.net.exchange import Reply
+from notchflow.operations.figures import ClassCounts
 from notchflow.state.database import Database
 from notchflow.tenancy.problems import reply
 
@@ -76,8 +77,9 @@
 
     def __init__(self, model: ClusterModel, state: Path, secret: bytes, loop: asyncio.AbstractEventLoop,
                  balancers: Callable[[int], None], longest_ms: float, db: Database,
-                 history: Path | None = None) -> None:
-        """IdentityFault, OSError: the folder. Of its log also StoreError, ManifestError, Locked."""
+                 classes: Mapping[str, ClassCounts], history: Path | None = None) -> None:
+        """`classes`: what became of requests here. IdentityFault, OSError: the folder. Of its log also
+        StoreError, ManifestError, Locked."""
         self.model, self.loop, self.balancers = model, loop, balancers
         self.folder = state / FOLDER
         taken = identity.take(self.folder, model.name, int(time.time() * 1e3))
@@ -86,7 +88,7 @@
         me = Record(model.name, life, 0, State.ALIVE, model.listen, _version())
         self.core = Members(me, model.roster, model.core(), Random(secrets.randbits(64)), model.seeds)
         self.edge = Edge(loop, self.core, secret, model.listen, model.addresses, self._keep, self._told)
-        self.limits = SharedLimits(loop, self.edge, Random(secrets.randbits(64)), longest_ms) \
+        self.limits = SharedLimits(loop, self.edge, Random(secrets.randbits(64)), longest_ms, classes) \
             if model.limits == "fleet" else None
         self.rules = FleetRules(model.name, model.roster, self.edge, self.folder, db, not taken.odd,
                                 self._note) if model.rules == "fleet" else None
@@ -218,7 +220,8 @@
                 "members": [self._member(name, now) for name in core.view.roster],
                 "bounds": {name: round(value, 1) for name, value in self.bounds().items()},
                 "disagreements": sorted(core.told), "view": f"{core.view.digest:016x}",
-                "rules": self.rules.show() if self.rules is not None else None}
+                "rules": self.rules.show() if self.rules is not None else None,
+                "figures": self.limits.by_class() if self.limits is not None else None}
 
     def _member(self, name: str, now: float) -> dict[str, Any]:
         core = self.core
--- a/notchflow/hosting/service.py
+++ b/notchflow/hosting/service.py
@@ -243,7 +243,7 @@
             return
         history = self.file.path.parent / model.history if model.history else None
         member = Membership(model, self.file.state, self.file.secret, self.loop, self.host.rebalance,
-                            self.host.longest_ms, self.db, history)
+                            self.host.longest_ms, self.db, self.host.figures.classes, history)
         self.membership = self.host.membership = member
         member.changed.append(self._taking)
         self.directory.shared = member.limits
--- a/notchflow/hosting/shared_limits.py
+++ b/notchflow/hosting/shared_limits.py
@@ -1,18 +1,20 @@
-"""Tenants' rates as budgets of the whole fleet, and their figures over it: the cores behind the door."""
+"""Tenants' rates as budgets of the whole fleet, and figures over it: the cores behind the door."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from random import Random
 from typing import Any, Final
 
 from notchflow.cluster.budgets import Budgets, Terms
-from notchflow.cluster.counts import FIGURES, Ledger, Values
+from notchflow.cluster.counts import CLASS, FIGURES, Ledger, Values
 from notchflow.cluster.edge import Edge
 from notchflow.cluster.holds import Holds
 from notchflow.cluster.holds import Terms as HoldTerms
 from notchflow.cluster.messages import Counted, Counts, Grant, Message, Want
 from notchflow.cluster.standpoint import Sender
+from notchflow.operations.figures import ClassCounts
 from notchflow.tenancy.limits import Usage
 from notchflow.tenancy.model import Limits
 
@@ -58,8 +60,10 @@
 class SharedLimits:
     """The budgets of one instance, ticking while anybody asks."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, edge: Edge, rng: Random, longest_ms: float) -> None:
-        """`longest_ms`: for how long a request may be in hand."""
+    def __init__(self, loop: asyncio.AbstractEventLoop, edge: Edge, rng: Random, longest_ms: float,
+                 classes: Mapping[str, ClassCounts]) -> None:
+        """`longest_ms`: for how long a request may be in hand. `classes`: what became of requests here."""
+        self.classes = classes
         self.loop, self.edge = loop, edge
         core = edge.core
         self.core = Budgets(core.name, core.view.roster, TERMS, rng, edge.now())
@@ -162,11 +166,25 @@
             self.touched[tenant] = 0 if changed or usage.in_hand else self.touched[tenant] + 1
             if self.touched[tenant] > 2:
                 del self.touched[tenant]
+        self._count_classes()
         view = self.edge.core.view
         lives = {name: record.life for name in view.present() if (record := view.get(name)) is not None}
         for name, counts in self.ledger.tick(lives):
             self.edge.send(name, counts)
 
+    def _count_classes(self) -> None:
+        for name, counts in self.classes.items():
+            self.ledger.set(CLASS + name, class_figures(counts))
+
+    def by_class(self) -> dict[str, Any]:
+        """The fleet's figures of each class, as the API tells them."""
+        self._count_classes()
+        now, left = self.edge.now(), self.edge.core.left
+        sums = {name: self.ledger.sum(now, CLASS + name, left, FRESH_MS) for name in self.ledger.classes()}
+        return {"classes": {name: dict(found.values) for name, found in sums.items()},
+                "age_ms": round(max((found.age_ms for found in sums.values()), default=0.0), 1),
+                "missing": sorted({name for found in sums.values() for name in found.missing})}
+
     def _counts(self, now: float, sender: Sender, body: Message) -> Message | None:
         assert isinstance(body, Counts)
         return self.ledger.heard(now, sender.name, sender.life, body)
@@ -196,3 +214,9 @@
     """A tenant's figures in the order of FIGURES."""
     reasons = (usage.refused.get(why, 0) for why in FIGURES[3:9])
     return (usage.asked, usage.served, usage.failed, *reasons, usage.in_hand, usage.bytes)
+
+
+def class_figures(counts: ClassCounts) -> Values:
+    """A class's figures in the order of CLASS_FIGURES."""
+    return (counts.fulfilled, counts.throttled, counts.faulted, counts.departed, counts.relayed, 0, 0, 0, 0,
+            counts.open, 0)
--- a/tests/cluster/test_counts.py
+++ b/tests/cluster/test_counts.py
@@ -5,6 +5,7 @@
 import random
 
 from notchflow.cluster.counts import (
+    CLASS,
     FIGURES,
     GAUGES,
     MESSAGES_A_TICK,
@@ -22,6 +23,24 @@
 FOREVER = 1e12
 
 
+def test_classes_are_counted_beside_tenants_and_a_life_that_ends_leaves_its_counters() -> None:
+    net = Net(3, 0.0)
+    read = (5, 2, 1, 0, 7, 0, 0, 0, 0, 3, 0)  # in the order of CLASS_FIGURES
+    for ledger in net.ledgers.values():
+        ledger.set("read", values(9))  # a tenant may have a class's name
+        ledger.set(CLASS + "read", read)
+    net.round()
+    found = net.ledgers["p1"].sum(net.now, CLASS + "read", frozenset(), FOREVER).values
+    assert found == {"fulfilled": 15, "throttled": 6, "faulted": 3, "departed": 0, "relayed": 21, "open": 9}
+    assert net.ledgers["p1"].sum(net.now, "read", frozenset(), FOREVER).values["asked"] == 27
+    net.ledgers["p3"], net.lives["p3"] = Ledger("p3", NAMES), Life(2, 1)
+    net.ledgers["p3"].set(CLASS + "pay", read)
+    net.round()
+    found = net.ledgers["p1"].sum(net.now, CLASS + "read", frozenset(), FOREVER).values
+    assert (found["fulfilled"], found["open"]) == (15, 6), "what was open has gone with its life"
+    assert net.ledgers["p1"].classes() == ["pay", "read"]
+
+
 def values(asked: int, held: int = 0) -> Values:
     return (asked, *ZERO[1:-1], held)
 
--- a/tests/hosting/test_cluster.py
+++ b/tests/hosting/test_cluster.py
@@ -166,9 +166,17 @@
         assert found is not None
         return dict(found["fleet"])
 
+    async def classes(name: str) -> int:
+        view = await fleet.instances[name].view()
+        assert view is not None
+        return sum(of["fulfilled"] + of["throttled"] + of["faulted"]
+                   for of in view["figures"]["classes"].values())
+
     async with asyncio.timeout(20):
         while [(await told(name))["asked"] for name in fleet.names] != [6, 6, 6]:
             await asyncio.sleep(0.05)
+        while [await classes(name) for name in fleet.names] != [6, 6, 6]:
+            await asyncio.sleep(0.05)
         assert (await told("p1"))["missing"] == []
         fleet.instances["p3"].kill()
         while (await told("p1"))["missing"] != ["p3"]:
@@ -204,10 +212,15 @@
             assert done.returncode == code, done.stderr
             return done.stdout + done.stderr
 
+        async with asyncio.timeout(20):  # the first figures come half a second after the start
+            while (await one.view() or {"figures": {"missing": ["?"]}})["figures"]["missing"]:
+                await asyncio.sleep(0.05)
         shown = call("members")
         assert "standing" in shown and "alive" in shown and "bounds" in shown
+        assert "missing: nobody" in call("figures")
         ask.insert(4, "--json")
         assert json.loads(call("members"))["name"] == "p2"
+        assert json.loads(call("figures"))["missing"] == []
         assert "p1=alive" in call("watch", "--seconds", "0.1")
         histories = [str(other.history) for other in fleet.instances.values()]
         lines = json.loads(call("history", *histories))
