--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -42,6 +42,7 @@
 LOSSY: Final = Law(loss=0.05)
 HOT_RATE: Final = 500.0
 CALM_MS, SLOW_MS = 5_000.0, 20_000.0
+SETTLED_S = 4.0  # after the start: all know one another
 REST_MS = 15_000.0  # the news of a common start go round for 13 s among 1,000
 SLOW_SHARE, STALL_MS, STALLS_EVERY_MS = 0.1, 4_000.0, 6_000.0
 
@@ -279,8 +280,9 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-async def served(folder: Path, instances: int, alone: bool, seconds: float) -> float:
-    """Microseconds of processor time a request at one instance, with what it uses at rest."""
+async def served(folder: Path, instances: int, alone: bool, seconds: float) -> tuple[float, float]:
+    """Microseconds of processor time a request at one instance, with what it uses at rest; and that by
+    itself, in milliseconds a second."""
     registry = Registry()
     await registry.start()
     box = Box("box-1", Work(0.0, 8, 128))
@@ -299,28 +301,34 @@
         head = f"GET /menus/{next(numbers) % 50} HTTP/1.1\r\nHost: f\r\nAuthorization: Bearer {token}"
         return f"{head}\r\n\r\n".encode(), "read"
 
-    await Paced(first.ports.clients, HOT_RATE, draw).run(2.0)
     assert first.process is not None
+    await asyncio.sleep(SETTLED_S)
+    before = processor_s(first.process.pid)
+    await asyncio.sleep(seconds)
+    rest = (processor_s(first.process.pid) - before) / seconds
+    await Paced(first.ports.clients, HOT_RATE, draw).run(2.0)
     before = processor_s(first.process.pid)
     tally = await Paced(first.ports.clients, HOT_RATE, draw).run(seconds)
     used = processor_s(first.process.pid) - before
     await fleet.stop()
     registry.stop()
     box.stop()
-    return used / max(tally.served, 1) * 1e6
+    return used / max(tally.served, 1) * 1e6, rest * 1e3
 
 
 def hot(quick: bool) -> list[str]:
     """Processor time a request with and without the fleet, in turn."""
-    found: dict[str, list[float]] = {"alone": [], "one of 8": []}
+    found: dict[str, list[tuple[float, float]]] = {"alone": [], "one of 8": []}
     for turn in range(2 if quick else 6):
         for name in (list(found) if turn % 2 else list(found)[::-1]):
             with tempfile.TemporaryDirectory(prefix="notchflow-hot-") as folder:
                 found[name].append(asyncio.run(served(
                     Path(folder), 1 if name == "alone" else 8, name == "alone", 5.0 if quick else 10.0)))
     for name, values in found.items():
-        print(f"hot: {name}: {statistics.median(values):.0f} us a request at {HOT_RATE:.0f}/s, runs "
-              f"{', '.join(f'{value:.0f}' for value in values)}")
+        request, rest = (statistics.median(value[place] for value in values) for place in (0, 1))
+        print(f"hot: {name}: {request:.0f} us a request at {HOT_RATE:.0f}/s, {rest:.1f} ms a second at rest, "
+              f"so {request - rest * 1e3 / HOT_RATE:.0f} us of its own; runs "
+              f"{', '.join(f'{us:.0f} ({ms:.1f})' for us, ms in values)}")
     return []
 
 
