--- a/notchflow/admin/cluster_client.py
+++ b/notchflow/admin/cluster_client.py
@@ -6,7 +6,7 @@
 import os
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any, Final
 
@@ -49,10 +49,8 @@
         if options.call == "watch":
             return _watch(client, options)
         found = client.call("GET", "/v1/cluster")
-        if options.call == "versions":
-            return _versions(found, options.json)
-        if options.call == "figures":
-            return _figures(found, options.json)
+        if options.call in PARTS:
+            return _part(found, *PARTS[options.call], options.json)
         _show(found, options.json)
     except NoToken as error:
         print(f"notchflow cluster: {error}", file=sys.stderr)
@@ -77,16 +75,21 @@
     return 0
 
 
-def _versions(found: dict[str, Any], as_json: bool) -> int:
-    """1: this instance has rules of its own."""
-    rules = found.get("rules")
-    if rules is None:
-        print("notchflow cluster: each instance has rules of its own; set cluster.rules = \"fleet\"",
-              file=sys.stderr)
+def _part(found: dict[str, Any], name: str, without: str, tell: Callable[[dict[str, Any]], None],
+          as_json: bool) -> int:
+    """A part of the view that not every fleet has; 1: this one has not."""
+    if found.get(name) is None:
+        print(f"notchflow cluster: {without}", file=sys.stderr)
         return 1
     if as_json:
-        show(rules, True)
-        return 0
+        show(found[name], True)
+    else:
+        tell(found)
+    return 0
+
+
+def _versions(found: dict[str, Any]) -> None:
+    rules = found["rules"]
     behind = {name: rules["agreed"] - match for name, match in rules["peers"].items()}
     acts = f"acts on them for {rules['lease_ms'] / 1e3:.1f} s more" if rules["acts"] else \
         "does not act on them: it hears no majority, or lacks what is agreed"
@@ -96,19 +99,10 @@
           f"contradict each other for {found['bounds']['rules_ms'] / 1e3:g} s at most")
     for name, count in sorted(behind.items()):
         print(f"{name}: {'all' if count <= 0 else f'{count} places behind'}")
-    return 0
 
 
-def _figures(found: dict[str, Any], as_json: bool) -> int:
-    """1: this instance knows its own figures alone."""
-    figures = found.get("figures")
-    if figures is None:
-        print("notchflow cluster: each instance counts by itself; set cluster.limits = \"fleet\"",
-              file=sys.stderr)
-        return 1
-    if as_json:
-        show(figures, True)
-        return 0
+def _figures(found: dict[str, Any]) -> None:
+    figures = found["figures"]
     missing = ", ".join(figures["missing"]) or "nobody"
     made = Table(title="requests by class, all instances",
                  caption=f"the oldest part is {figures['age_ms'] / 1e3:g} s old; missing: {missing}")
@@ -118,7 +112,11 @@
     for name, values in figures["classes"].items():
         made.add_row(name, *(str(values[column]) for column in names))
     Console().print(made)
-    return 0
+
+
+PARTS: Final[dict[str, tuple[str, str, Callable[[dict[str, Any]], None]]]] = {
+    "versions": ("rules", 'each instance has rules of its own; set cluster.rules = "fleet"', _versions),
+    "figures": ("figures", 'each instance counts by itself; set cluster.limits = "fleet"', _figures)}
 
 
 def _show(found: dict[str, Any], as_json: bool) -> None:
