Tidied: one reader of placed values, figures' reach told once, one table of class figures

`net/config.py` had two functions that only put a place before an error: one takes the reader now. The age and the missing of the fleet's figures are the same for every class and were worked out for each and joined again: `Ledger.reach` has them, `total` the sums. The order of a class's figures stood in three places; the service and the client take it from CLASS_FIGURES. An emulated proxy overrides what becomes of an answer, not the guards before it. Three mutants of the pool were one function with other names.

--- a/notchflow/admin/cluster_client.py
+++ b/notchflow/admin/cluster_client.py
@@ -16,6 +16,7 @@
 
 from notchflow.admin.client import DEFAULT_URL, CallFailed, Client, NoToken, show, token_of
 from notchflow.cluster import histories
+from notchflow.cluster.counts import CLASS_FIGURES
 
 EVERY_S: Final = 0.5
 WIDTH: Final = 120  # the table's, whatever it is printed to
@@ -106,7 +107,7 @@
     missing = ", ".join(figures["missing"]) or "nobody"
     made = Table(title="requests by class, all instances",
                  caption=f"the oldest part is {figures['age_ms'] / 1e3:g} s old; missing: {missing}")
-    names = ("fulfilled", "throttled", "faulted", "departed", "relayed", "open")
+    names = [name for name in CLASS_FIGURES if name]
     for name in ("class", *names):
         made.add_column(name, justify="left" if name == "class" else "right")
     for name, values in figures["classes"].items():
--- a/notchflow/cluster/counts.py
+++ b/notchflow/cluster/counts.py
@@ -153,12 +153,19 @@
         keys = {*self.own, *(key for copy in copies for key in (*copy.rows, *copy.past))}
         return sorted(key.removeprefix(CLASS) for key in keys if key.startswith(CLASS))
 
-    def sum(self, now: float, tenant: str, left: frozenset[str], fresh_ms: float) -> Sum:
-        """The fleet's figures of a tenant, or of a class by its key. Missing is who has not left and was not
-        heard for longer than `fresh_ms`: its last figures are in the sum, what it counted since is not."""
-        total, age, missing = self.own.get(tenant, ZERO), 0.0, []
+    def total(self, key: str) -> dict[str, int]:
+        """The fleet's figures of a tenant, or of a class by its key, by their names."""
+        total = self.own.get(key, ZERO)
+        for copy in self.copies.values():
+            total = added(total, added(copy.rows.get(key, ZERO), copy.past.get(key, ZERO)))
+        names = CLASS_FIGURES if key.startswith(CLASS) else FIGURES
+        return {name: n for name, n in zip(names, total, strict=True) if name}
+
+    def reach(self, now: float, left: frozenset[str], fresh_ms: float) -> tuple[float, tuple[str, ...]]:
+        """The age of the oldest part of all figures (ms), and who is missing: has not left and was not heard
+        for longer than `fresh_ms`. Their last figures are in the sums, what they counted since is not."""
+        age, missing = 0.0, []
         for name, copy in self.copies.items():
-            total = added(total, added(copy.rows.get(tenant, ZERO), copy.past.get(tenant, ZERO)))
             if name in left:
                 continue
             old = now - copy.as_of
@@ -166,8 +173,11 @@
                 missing.append(name)
             else:
                 age = max(age, old)
-        names = CLASS_FIGURES if tenant.startswith(CLASS) else FIGURES
-        return Sum({name: n for name, n in zip(names, total, strict=True) if name}, age, tuple(missing))
+        return age, tuple(missing)
+
+    def sum(self, now: float, tenant: str, left: frozenset[str], fresh_ms: float) -> Sum:
+        """The fleet's figures, with how far they reach."""
+        return Sum(self.total(tenant), *self.reach(now, left, fresh_ms))
 
 
 def fitted(values: tuple[int, ...]) -> Values:
--- a/notchflow/emulator/sends.py
+++ b/notchflow/emulator/sends.py
@@ -143,22 +143,16 @@
         super().end()
         self.loop.kill()
 
-    def answered(self, line: Line, listing: Listing) -> None:
-        if line.open and self.alive:
-            self.close(line)
-            self.world.judge.wrote(self, listing.revision)
-            since = None if listing.complete else line.ask.revision
-            self.world.calls[line.ask.number].tell(200, self.world.listing(listing.revision, since))
-
-    def failed(self, line: Line, problem: str) -> None:
-        if line.open and self.alive:
-            self.close(line)
-            self.last_failed = True
-            call = self.world.calls[line.ask.number]
-            if problem == "status 503":
-                call.tell(503, {})
-            else:
-                call.pipe.abort()
+    def deliver(self, line: Line, listing: Listing) -> None:
+        since = None if listing.complete else line.ask.revision
+        self.world.calls[line.ask.number].tell(200, self.world.listing(listing.revision, since))
+
+    def refuse(self, line: Line, problem: str) -> None:
+        call = self.world.calls[line.ask.number]
+        if problem == "status 503":
+            call.tell(503, {})
+        else:
+            call.pipe.abort()
 
 
 class Served(asyncio.Protocol):
@@ -310,4 +304,3 @@
                 self.verdict.broken.append(f"{client.call.url!r} is never answered")
         self.verdict.broken += [f"in a loop: {text}" for loop in self.owners for text in loop.problems]
         return self.verdict.broken
-
--- a/notchflow/emulator/watches.py
+++ b/notchflow/emulator/watches.py
@@ -131,13 +131,21 @@
         if line.open and self.alive:
             self.close(line)
             self.world.judge.wrote(self, listing.revision)
-            self.do(self.watch.answered(self.world.sim.now, line.ask.number, listing, False))
+            self.deliver(line, listing)
 
     def failed(self, line: Line, problem: str) -> None:
         if line.open and self.alive:
             self.close(line)
             self.last_failed = True
-            self.do(self.watch.failed(self.world.sim.now, line.ask.number, problem))
+            self.refuse(line, problem)
+
+    def deliver(self, line: Line, listing: Listing) -> None:
+        """The answer has arrived."""
+        self.do(self.watch.answered(self.world.sim.now, line.ask.number, listing, False))
+
+    def refuse(self, line: Line, problem: str) -> None:
+        """The call has come to nothing."""
+        self.do(self.watch.failed(self.world.sim.now, line.ask.number, problem))
 
     def close(self, line: Line) -> None:
         line.open = False
--- a/notchflow/hosting/shared_limits.py
+++ b/notchflow/hosting/shared_limits.py
@@ -8,7 +8,7 @@
 from typing import Any, Final
 
 from notchflow.cluster.budgets import Budgets, Terms
-from notchflow.cluster.counts import CLASS, FIGURES, Ledger, Values
+from notchflow.cluster.counts import CLASS, CLASS_FIGURES, FIGURES, Ledger, Values
 from notchflow.cluster.edge import Edge
 from notchflow.cluster.holds import Holds
 from notchflow.cluster.holds import Terms as HoldTerms
@@ -179,11 +179,9 @@
     def by_class(self) -> dict[str, Any]:
         """The fleet's figures of each class, as the API tells them."""
         self._count_classes()
-        now, left = self.edge.now(), self.edge.core.left
-        sums = {name: self.ledger.sum(now, CLASS + name, left, FRESH_MS) for name in self.ledger.classes()}
-        return {"classes": {name: dict(found.values) for name, found in sums.items()},
-                "age_ms": round(max((found.age_ms for found in sums.values()), default=0.0), 1),
-                "missing": sorted({name for found in sums.values() for name in found.missing})}
+        age_ms, missing = self.ledger.reach(self.edge.now(), self.edge.core.left, FRESH_MS)
+        return {"classes": {name: self.ledger.total(CLASS + name) for name in self.ledger.classes()},
+                "age_ms": round(age_ms, 1), "missing": list(missing)}
 
     def _counts(self, now: float, sender: Sender, body: Message) -> Message | None:
         assert isinstance(body, Counts)
@@ -218,5 +216,4 @@
 
 def class_figures(counts: ClassCounts) -> Values:
     """A class's figures in the order of CLASS_FIGURES."""
-    return (counts.fulfilled, counts.throttled, counts.faulted, counts.departed, counts.relayed, 0, 0, 0, 0,
-            counts.open, 0)
+    return tuple(getattr(counts, name) if name else 0 for name in CLASS_FIGURES)
--- a/notchflow/net/config.py
+++ b/notchflow/net/config.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 from notchflow.interface import Settings
 from notchflow.net.listing import Address, Listing, decode_listing, parse_address
@@ -15,6 +15,8 @@
 CONN_IDLE_MS = 10_000.0
 MEMORY_MB, SOCKETS = 192.0, 1024
 
+_R = TypeVar("_R")
+
 
 class ConfigError(Exception):
     """The configuration is missing or malformed; the text says where."""
@@ -73,34 +75,29 @@
     settings, report_fields = decode(data.get("settings"))
     limits = data.get("limits") or {}  # the platform kills over the one and refuses sockets over the other
     console, accept_fd = env.get("ROUTER_CONSOLE") or data.get("console"), env.get("ROUTER_ACCEPT_FD")
+    known = data.get("known")
     idle_ms = (data["settings"].get("Limits") or {}).get("ConnIdleMs", CONN_IDLE_MS)
     return Config(
         name=str(env.get("ROUTER_NAME") or data.get("name") or ""),
-        listen=_address(env.get("ROUTER_LISTEN") or data.get("listen"), "listen"),
-        discovery=_address(env.get("ROUTER_DISCOVERY") or data.get("discovery"), "discovery"),
+        listen=_read("listen", parse_address, env.get("ROUTER_LISTEN") or data.get("listen")),
+        discovery=_read("discovery", parse_address, env.get("ROUTER_DISCOVERY") or data.get("discovery")),
         seed=_seed(data.get("seed", 0)), settings=settings, report_fields=report_fields,
-        known=_known(data["known"]) if data.get("known") else Listing(0, True, (), {}),
+        known=_read("known", decode_listing, known) if known else Listing(0, True, (), {}),
         conn_idle_ms=number(idle_ms, "Limits.ConnIdleMs"),
         memory_mb=number(limits.get("memory_mb", MEMORY_MB), "limits.memory_mb"),
         sockets=integer(limits.get("sockets", SOCKETS), "limits.sockets"),
-        console=_address(console, "console") if console else None,
+        console=_read("console", parse_address, console) if console else None,
         accept_fd=int(accept_fd) if accept_fd else None, shape=shape_of(data))
 
 
-def _address(text: object, place: str) -> Address:
+def _read(place: str, read: Callable[[object], _R], value: object) -> _R:
+    """What is read, or a ValueError that begins with its place."""
     try:
-        return parse_address(text)
+        return read(value)
     except ValueError as error:
         raise ValueError(f"{place}: {error}") from None
 
 
-def _known(data: object) -> Listing:
-    try:
-        return decode_listing(data)
-    except ValueError as error:
-        raise ValueError(f"known: {error}") from None
-
-
 def _seed(value: object) -> int:
     """A text is hexadecimal."""
     try:
--- a/tests/emulator/test_sends.py
+++ b/tests/emulator/test_sends.py
@@ -19,7 +19,7 @@
 from notchflow.emulator.wires import Loop, Pipe
 from notchflow.interface import Event, ListKind, Membership, State
 from notchflow.net.listing import Listing
-from notchflow.net.upstream import Connection, Pool
+from notchflow.net.upstream import Pool
 
 LONG = bool(os.environ.get("NOTCHFLOW_LONG"))
 MOMENTS = {True: (6_000.0, 31_000.0, 12_000.0), False: (1_500.0, 6_000.0, 12_000.0)}
@@ -91,38 +91,29 @@
         super().apply(replace(listing, addresses=addresses), kind)
 
 
-def unchecked_send(pool: Pool, exchange: Any, now: float) -> None:
-    retired, pool.retired = pool.retired, False
-    SEND(pool, exchange, now)
-    pool.retired = retired
-
-
-def unchecked_opened(pool: Pool, connection: Connection) -> None:
-    retired, pool.retired = pool.retired, False
-    OPENED(pool, connection)
-    pool.retired = retired
-
-
-def unchecked_release(pool: Pool, connection: Connection) -> None:
-    retired, pool.retired = pool.retired, False
-    RELEASE(pool, connection)
-    pool.retired = retired
+def unchecked(method: Callable[..., None]) -> Callable[..., None]:
+    """The pool's method as it would be if it did not look whether the pool is retired."""
+    def changed(pool: Pool, *args: Any) -> None:
+        retired, pool.retired = pool.retired, False
+        method(pool, *args)
+        pool.retired = retired
+    return changed
 
 
 def nothing(*_: object) -> None: ...
 
 
-SEND, OPENED, RELEASE = Pool.send, Pool.opened, Pool.release
+UNCHECKED = {name: unchecked(getattr(Pool, name)) for name in ("send", "opened", "release")}
 
 MUTANTS: dict[str, tuple[type[WatchedHost], dict[str, Callable[..., Any]], dict[str, Any]]] = {
     "the watch of before": (Deaf, {}, {}),
     "a drain is taken for up": (DrainIsUp, {}, {}),
     "the module is not told, and pools begin where they are retired": (
-        NodesStay, {"send": unchecked_send, "opened": unchecked_opened}, {}),
+        NodesStay, {"send": UNCHECKED["send"], "opened": UNCHECKED["opened"]}, {}),
     "dials go on, and what has come up begins": (
-        WatchedHost, {"undial": nothing, "opened": unchecked_opened}, {"grace_ms": 100.0, "silences": ()}),
+        WatchedHost, {"undial": nothing, "opened": UNCHECKED["opened"]}, {"grace_ms": 100.0, "silences": ()}),
     "kept connections stay, module and pool know nothing": (
-        NodesStay, {"send": unchecked_send, "retire": nothing, "release": unchecked_release}, {}),
+        NodesStay, {"send": UNCHECKED["send"], "retire": nothing, "release": UNCHECKED["release"]}, {}),
     "an id that moves keeps its old address": (AddressStays, {}, {}),
 }
 
