--- a/benchmarks/inner.py
+++ b/benchmarks/inner.py
@@ -18,11 +18,11 @@
 from httptools import HttpResponseParser
 
 from notchflow.interface import Limits, ListKind, RequestClass, Settings, Timer
+from notchflow.net.client import Client
 from notchflow.net.config import Config
+from notchflow.net.connection import Connection
 from notchflow.net.discovery import decode_listing
-from notchflow.net.downstream import Client
 from notchflow.net.host import Host
-from notchflow.net.upstream import Connection
 from standins.discovery import member
 
 ANSWER = (b"HTTP/1.1 200 OK\r\nX-Hit: hit\r\nX-Box: s-1\r\nContent-Length: 512\r\n\r\n" + b"x" * 512)
--- /dev/null
+++ b/notchflow/net/arrival.py
@@ -0,0 +1,335 @@
+"""A client's bytes as they come in: parsed to requests, with bounds on heads, framing, bodies and time."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from typing import Any, Protocol
+
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+
+from notchflow.net.exchange import HOP_BY_HOP, Call, Door, Gatekeeper
+
+log = logging.getLogger(__name__)
+
+HEAD_MAX = 32 << 10
+BODY_MAX = 32 << 20
+FLOW_FROM = 256 << 10  # a longer body goes on to a box as it comes, and is held as far as memory allows
+WAITING_MAX = 16
+# By when a request must have come whole: who says nothing, or half, keeps no descriptor. A head may take
+# 2 s; a body has as long as it needs at half the rate of the slowest clients, by what has come of it.
+ARRIVE_MS, BODY_RATE = 2_300.0, 32.0  # bytes a millisecond
+SLICE = 8 << 10  # a longer read is parsed in such pieces, so that the bounds on framing hold within it
+FIELDS_MAX = 256
+FRAMING_MAX, FRAMING_CHUNK = 4 << 10, 32  # bytes of a chunked body that are no body: in all, and a chunk
+JOIN_BELOW = 1 << 10  # bytes: smaller pieces of a body are put together, as each costs memory of its own
+READ = frozenset({b"x-call-id", b"x-call-class", b"x-caller", b"x-budget", b"x-again", b"x-call-cost",
+                  b"x-call-info", b"expect", b"idempotency-key", b"host"})
+REPLACED = frozenset({b"x-budget", b"expect"})
+# Two of these can be read either way: as one request here, as another at the box.
+SINGLE = frozenset({b"x-call-id", b"idempotency-key", b"host"})
+# A sender may name in Connection what is meant for this hop alone. These are meant for the end: without its
+# X-Call-Id or Idempotency-Key a box could not tell a repeat, and an effect would happen twice.
+END_TO_END = READ | {b"authorization", b"content-type", b"content-encoding", b"cache-control"}
+FRAMING = frozenset({b"connection", b"transfer-encoding"})
+
+
+class Entrance(Protocol):
+    """The listener's side, as its clients' connections see it."""
+
+    host: Gatekeeper
+    door: Door | None
+    clients: dict[Any, None]
+    idle: dict[Any, None]
+
+    def lost(self, client: Any) -> None: ...
+
+
+class Arrival(asyncio.Protocol):
+    """A client's connection as far as it is read: `waiting` holds the requests that have come."""
+
+    __slots__ = ("front", "host", "transport", "parser", "arriving", "in_head", "head_size", "waiting",
+                 "current", "half_closed", "closing", "active_at", "due_since", "framing", "chunks",
+                 "held_off", "stopped_at", "turn_over", "pieces")
+
+    def __init__(self, front: Entrance) -> None:
+        self.front = front
+        self.host = front.host
+        self.transport: asyncio.Transport | None = None
+        self.parser: HttpRequestParser | None = None
+        self.arriving: Call | None = None
+        self.in_head = False
+        self.head_size = self.framing = self.chunks = 0
+        self.waiting: deque[Call] = deque()
+        self.current: Call | None = None
+        self.held_off = False  # nothing is read until what waits is fewer
+        self.stopped_at: float | None = None  # since then no more of a body is wanted
+        self.turn_over = False  # enough of a body was read in this turn of the loop
+        self.pieces: list[bytes] = []  # of a body that flows, read but not passed on yet
+        self.half_closed = False
+        self.closing = False
+        self.active_at = 0.0
+        self.due_since: float | None = None  # a request is due: the first, or one that has begun to come
+
+    # -- what the client's side makes of it
+    def _call(self) -> Call:
+        """A request that begins to come."""
+        raise NotImplementedError
+
+    def _step(self) -> None:
+        """Takes up what waits, if nothing is in hand."""
+        raise NotImplementedError
+
+    def fail(self, call: Call, status: int) -> None:
+        """Failed, with no promise."""
+        raise NotImplementedError
+
+    # -- bytes
+    def data_received(self, data: bytes) -> None:
+        self.active_at = self.host.clock.turn()
+        if self.closing or self.parser is None:
+            return  # what follows a fault is read and dropped, so that its answer is not lost to a reset
+        self.front.idle.pop(self, None)
+        if len(data) <= SLICE:
+            self._feed(data)
+        else:
+            for at in range(0, len(data), SLICE):
+                if not self.closing:
+                    self._feed(data[at : at + SLICE])
+        if self.arriving is not None and self.arriving.flowing:
+            self._pass_pieces(self.arriving)
+            if len(data) > SLICE:
+                self._end_turn()
+        self._step()
+        if self.current is None and self.arriving is None and not self.waiting and not self.closing:
+            self.front.idle[self] = None  # the rest of what was answered already has come
+
+    def _feed(self, data: bytes) -> None:
+        if self.parser is None:
+            return
+        call = self.arriving
+        before = call.size if call is not None else 0
+        try:
+            self.parser.feed_data(data)
+        except HttpParserUpgrade:
+            self.closing = True  # the request stands, in plain HTTP; what follows it cannot be read
+        except HttpParserError as error:
+            log.info("malformed request: %s", error)
+            self._fault(400)
+        if self.in_head:
+            self.head_size += len(data)
+            if self.head_size >= HEAD_MAX:
+                self._fault(431)
+        elif call is not None and call is self.arriving:  # in the midst of a body
+            self.framing += len(data) - (call.size - before)
+            if self.framing > FRAMING_MAX + FRAMING_CHUNK * self.chunks:
+                log.info("more framing than body")
+                self._fault(400)
+
+    # -- the parser's callbacks
+    def on_message_begin(self) -> None:
+        self.arriving = self._call()
+        self.in_head, self.head_size, self.framing, self.chunks = True, 0, 0, 0
+        self.due_since = self.active_at
+
+    def on_url(self, url: bytes) -> None:
+        if self.arriving is not None:
+            self.arriving.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        call, low = self.arriving, name.lower()
+        if call is None or not self.in_head:
+            return  # trailers
+        if low in READ:
+            if low in SINGLE and low in call.fields:
+                call.fault = 400
+            call.fields[low] = value
+            if low in REPLACED:
+                return
+        elif low in HOP_BY_HOP:
+            call.fields[low] = b"%b, %b" % (call.fields[low], value) if low in call.fields else value
+            return
+        call.passed.append(b"%b: %b\r\n" % (name, value))
+
+    def on_headers_complete(self) -> None:
+        call, parser = self.arriving, self.parser
+        if call is None or parser is None:
+            return
+        self.in_head = False
+        call.method = parser.get_method()
+        call.chunks_allowed = parser.get_http_version() == "1.1"
+        call.keep = call.chunks_allowed and parser.should_keep_alive()
+        if not FRAMING.isdisjoint(call.fields) and not self._framed(call):
+            return
+        if len(call.passed) > FIELDS_MAX:
+            self._fault(431)
+            return
+        if self.front.door is not None and not call.fault:
+            self.front.door.head(call)
+        if int(call.fields.get(b"content-length", 0)) > BODY_MAX:
+            self._fault(413)
+        elif b"expect" in call.fields:
+            self._expected(call)
+
+    def _framed(self, call: Call) -> bool:
+        """What the head says of the connection and the coding; false where that is a fault."""
+        named = call.fields.get(b"connection")
+        if named is not None and b"," in named or named and named.lower() not in (b"keep-alive", b"close"):
+            tokens = {t.strip().lower() for t in named.split(b",")} - END_TO_END
+            drop = tuple(t + b":" for t in tokens if t)
+            call.passed = [line for line in call.passed if not line.lower().startswith(drop)]
+        coding = call.fields.get(b"transfer-encoding")
+        if coding is not None and coding.strip().lower() != b"chunked":
+            self._fault(501)  # the body would go on in a coding that nobody told the box of
+            return False
+        return True
+
+    def _expected(self, call: Call) -> None:
+        """The client waits with the body."""
+        if call.reply is not None:
+            self._fault(call.reply.status)  # it may as well keep it
+        elif call.fields[b"expect"].lower() == b"100-continue":
+            if self.current is None and not self.waiting and self.transport is not None:
+                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        call = self.arriving
+        if call is None:
+            return
+        call.size += len(data)
+        if call.size > BODY_MAX:
+            self._fault(413)
+        elif call.dropped:
+            return
+        elif call.flowing or self._flows(call, len(data)):
+            self._flow(call, data)
+        elif call.reply is None and not call.spilled:
+            full = self.host.held + len(data) > self.host.held_max
+            if full or (call.ticket is not None and not call.ticket.charge(len(data))):
+                call.spilled = True
+                call.release()
+            else:
+                self.host.held += len(data)
+                call.charged += len(data)
+                if call.body and len(data) < JOIN_BELOW and len(call.body[-1]) < JOIN_BELOW:
+                    call.body[-1] += data
+                else:
+                    call.body.append(data)
+
+    def _flows(self, call: Call, size: int) -> bool:
+        """Whether this body is to go on as it comes, from now on."""
+        if self.front.door is not None or call.method != b"PUT" or call.fault or call.spilled:
+            return False
+        short = self.host.held + size > self.host.held_max
+        if call.size > FLOW_FROM or short and int(call.fields.get(b"content-length", 0)) > FLOW_FROM:
+            call.flowing = True
+            self.waiting.append(call)
+        return call.flowing
+
+    def _flow(self, call: Call, data: bytes) -> None:
+        """A piece of a body that goes on as it comes. It is held too, so that another box can be given all of
+        it, as long as there is memory; else what comes waits until a box is reading."""
+        host, item = self.host, call.open
+        if not call.spent:
+            host.held += len(data)
+            call.charged += len(data)
+            call.body.append(data)
+        if item is not None:
+            self.pieces.append(data)
+        if not call.spent and host.held > host.held_max:
+            if item is not None and host.spend(item):
+                self._pass_pieces(call)
+                call.spent = True
+                call.release()
+            else:
+                self.flow(False)
+
+    def _pass_pieces(self, call: Call) -> None:
+        """Passes on what was read, in one write."""
+        pieces, self.pieces = self.pieces, []
+        if pieces and call.open is not None:
+            self.host.body_came(call.open, pieces)
+
+    def _end_turn(self) -> None:
+        """Leaves the rest of a body for the next turn of the loop, which else reads a socket up to 32 times
+        over while there is more, 8 MiB, and all other clients wait for so long."""
+        if not self.turn_over:
+            self.turn_over = True
+            self._read_on(False)
+            self.host.soon(self._next_turn, None)
+
+    def _next_turn(self, _: object = None) -> None:
+        self.turn_over = False
+        self._read_on(True)
+
+    def flow(self, on: bool) -> None:
+        """Whether more of the body that is arriving is wanted now; else the client's time stands still."""
+        if on is (self.stopped_at is None) or self.transport is None or self.transport.is_closing():
+            return
+        now = self.host.clock.now()
+        if on:
+            assert self.stopped_at is not None
+            if self.due_since is not None:
+                self.due_since += now - self.stopped_at
+            self.stopped_at, self.active_at = None, now
+        else:
+            self.stopped_at = now
+        self._read_on(on)
+
+    def _read_on(self, on: bool) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        if not on:
+            self.transport.pause_reading()
+        elif not self.held_off and self.stopped_at is None and not self.turn_over:
+            self.transport.resume_reading()
+
+    def on_chunk_header(self) -> None:
+        self.chunks += 1
+
+    def on_message_complete(self) -> None:
+        call, self.arriving = self.arriving, None
+        self.due_since = None
+        if call is None:
+            return
+        call.arrived_at = self.active_at
+        if call.flowing:
+            self._pass_pieces(call)
+            call.whole = True
+            self.flow(True)
+            if call.dropped and not call.keep and self.transport is not None:
+                self.closing = True
+                self.transport.close()
+            if call.open is not None:
+                self.host.body_whole(call.open)
+            return
+        if call.size or call.method == b"PUT":
+            call.passed.append(b"Content-Length: %d\r\n" % call.size)
+        self.waiting.append(call)
+        if len(self.waiting) >= WAITING_MAX and self.transport is not None:
+            self.held_off = True
+            self._read_on(False)
+
+    def _fault(self, status: int) -> None:
+        """What comes is no request that can be answered otherwise; nothing after it can be read."""
+        if self.closing:
+            return
+        self.closing = True
+        call = self.arriving or self._call()
+        self.arriving, self.in_head = None, False
+        if call is self.current:  # its body was on the way to a box: that is over, and not whole
+            call.fault, call.keep, item = status, False, call.open
+            if item is not None:
+                self.host.client_gone(item)
+            self.fail(call, status)
+            return
+        if call in self.waiting:
+            self.waiting.remove(call)
+        call.release()
+        call.fault, call.keep = status, False
+        if call.dropped:
+            if self.transport is not None:
+                self.transport.close()
+            return
+        self.waiting.append(call)
--- /dev/null
+++ b/notchflow/net/client.py
@@ -0,0 +1,314 @@
+"""A client's connection: its requests taken up one after the other, each answered, backpressure both ways."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import select
+from typing import cast
+
+from httptools import HttpRequestParser
+
+from notchflow.net.arrival import ARRIVE_MS, BODY_MAX, BODY_RATE, Arrival, Entrance
+from notchflow.net.exchange import REASONS, Answer, Call, Reply
+from notchflow.net.heads import PLAIN, info_size, number_of, readable
+
+log = logging.getLogger(__name__)
+
+BUDGET_MAX_MS = 60_000.0
+IDLE_MS = 75_000.0
+STALLED_MS = 10_000.0
+LINGER_MS = 2_000.0
+PREFIX = b"/api/"
+NO_HOST = b"Host: service.internal\r\n"
+READY = b"/health/ready"
+
+
+class Client(Arrival):
+    """A client's connection."""
+
+    __slots__ = ("stepping", "paused", "chunked", "charged", "known")
+
+    def __init__(self, front: Entrance, known: bool = False) -> None:
+        super().__init__(front)
+        self.known = known  # another process served it before: it may be idle as long as any
+        self.stepping = False
+        self.paused = False
+        self.chunked = False
+        self.charged = 0
+
+    def _call(self) -> Call:
+        return Call(self, self.host)
+
+    # -- the transport's callbacks
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.parser = HttpRequestParser(self)
+        self.active_at = self.host.clock.turn()
+        self.due_since = None if self.known else self.active_at
+        self.front.clients[self] = None
+        self.front.idle[self] = None
+
+    def eof_received(self) -> bool:
+        self.half_closed = True
+        if self.current is self.arriving and not self.waiting:
+            return False  # nothing is in hand, or its body ends in the midst
+        self.closing = True
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = self.parser = None
+        self.closing = True
+        self.host.held -= self.charged
+        self.charged = 0
+        calls = [c for c in (self.current, self.arriving, *self.waiting) if c is not None]
+        self.current = self.arriving = None
+        self.waiting.clear()
+        for call in calls:
+            item = call.open
+            call.settle(0)
+            if item is not None:
+                self.host.client_gone(item)
+        self.front.lost(self)
+
+    def pause_writing(self) -> None:
+        self.paused = True
+        if self.transport is not None:
+            self._charge(self.transport.get_write_buffer_size())
+        if self.current is not None and self.current.open is not None:
+            self.host.pause(self.current.open, True)
+
+    def resume_writing(self) -> None:
+        self.paused = False
+        self.active_at = self.host.clock.turn()
+        self._charge(0)
+        if self.current is not None and self.current.open is not None:
+            self.host.pause(self.current.open, False)
+        self._step()
+
+    def _charge(self, size: int) -> None:
+        self.host.held += size - self.charged
+        self.charged = size
+
+    # -- one request after the other
+    def silent(self) -> bool:
+        """Whether nothing has come that was not read yet: what is closed then is lost to its client."""
+        assert self.transport is not None
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    def pass_on(self) -> int | None:
+        """Gives up the connection for another process to go on with, between two requests: had some of the
+        next been read, it would be lost. The connection's descriptor, or none if it must stay."""
+        transport = self.transport
+        if (transport is None or transport.is_closing() or self.closing or self.half_closed or self.waiting
+                or self.current is not None or self.arriving is not None
+                or transport.get_write_buffer_size()):
+            return None
+        transport.pause_reading()
+        descriptor = os.dup(transport.get_extra_info("socket").fileno())
+        self.closing = True
+        transport.abort()  # closes this process's descriptor alone: the connection lives on in the other
+        return descriptor
+
+    def _step(self) -> None:
+        if self.stepping:
+            return
+        self.stepping = True
+        while self.waiting and self.current is None and not self.paused and self.transport is not None:
+            call = self.current = self.waiting.popleft()
+            if self.held_off and not self.waiting:
+                self.held_off = False
+                self._read_on(True)
+            try:
+                self._begin(call)
+            except Exception:
+                log.exception("a request failed")
+                self.fail(call, 502)
+        self.stepping = False
+
+    def _begin(self, call: Call) -> None:
+        if call.reply is not None:
+            self._reply(call, call.reply)
+            return
+        if call.fault:
+            self.fail(call, call.fault)
+            return
+        if self.front.door is None and call.method == b"GET" and not call.spilled:
+            plain = PLAIN.fullmatch(call.url)
+            if plain is not None:
+                self._request(call, plain[1].decode("ascii"))
+                return
+        path = call.url.partition(b"?")[0]
+        if path == READY:
+            self._write(call, 503 if self.host.duty.away or not self.host.informed() else 200, [], [], 0)
+            return
+        if self.front.door is not None:
+            reply = self.front.door.begin(call)
+            if reply is not None:
+                self._reply(call, reply)
+            return
+        if not readable(call.url):
+            self.fail(call, 400)
+            return
+        key = path.rpartition(b"/")[2]
+        if not path.startswith(PREFIX) or not key:
+            self.fail(call, 404)
+        elif call.method not in (b"GET", b"PUT"):
+            self.fail(call, 405)
+        elif call.spilled:
+            log.warning("memory is short: a request is refused")
+            call.counts = self.host.figures.take(call.fields.get(b"x-call-class", b"").decode("latin-1"))
+            self.refuse(call, 0.0)
+        else:
+            self._request(call, key.decode("latin-1"))
+
+    def _request(self, call: Call, key: str) -> None:
+        fields = call.fields
+        try:
+            if not fields.get(b"x-call-id"):
+                raise ValueError("no X-Call-Id")
+            budget = number_of(fields, b"x-budget", 1e3) if b"x-budget" in fields else None
+            hint = number_of(fields, b"x-call-cost", 1e-3) if b"x-call-cost" in fields else None
+        except ValueError:
+            self.fail(call, 400)
+            return
+        if b"host" not in fields:  # allowed to the platform's clients, not to us (RFC 9112 section 3.2)
+            call.passed.append(NO_HOST)
+        if call.flowing:
+            self._framed_anew(call)
+        info, tenant = fields.get(b"x-call-info"), fields.get(b"x-caller")
+        self.host.request(
+            call, fields.get(b"x-call-class", b"").decode("latin-1"),
+            budget if budget is None or budget < BUDGET_MAX_MS else BUDGET_MAX_MS, key,
+            tenant.decode("latin-1") if tenant else None, hint, info_size(info) if info else None,
+            fields.get(b"x-again") == b"1", call.method == b"PUT")
+
+    def _framed_anew(self, call: Call) -> None:
+        """How a body that flows goes on; its time begins with its last byte, by when that must be there."""
+        length = b"%d" % call.size if call.whole else call.fields.get(b"content-length")
+        call.chunked = length is None
+        call.passed.append(
+            b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %b\r\n" % length)
+        if not call.whole:
+            left = (BODY_MAX if length is None else int(length)) - call.size
+            call.arrived_at = self.host.clock.now() + ARRIVE_MS + left / BODY_RATE
+
+    def serve(self, call: Call, answer: Answer) -> None:
+        self._write(call, 200, answer.passed, answer.body, answer.size)
+
+    def refuse(self, call: Call, retry_after_ms: float) -> None:
+        if self.front.door is not None:
+            self._reply(call, self.front.door.refused(retry_after_ms))
+            return
+        extra = [b"Retry-After: %.3f\r\n" % (retry_after_ms / 1e3)] if retry_after_ms > 0 else []
+        self._write(call, 503, extra, [], 0)
+
+    def fail(self, call: Call, status: int) -> None:
+        """Failed, with no promise."""
+        if self.front.door is not None:
+            self._reply(call, self.front.door.failed(status))
+        else:
+            self._write(call, status, [], [], 0)
+
+    def answer(self, call: Call, reply: Reply) -> None:
+        """An answer of the door's, that it needed time for."""
+        self._reply(call, reply)
+
+    def _reply(self, call: Call, reply: Reply) -> None:
+        self._write(call, reply.status, list(reply.headers), [reply.body], len(reply.body))
+
+    def _write(self, call: Call, status: int, headers: list[bytes], body: list[bytes], size: int) -> None:
+        if self.transport is None or self.current is not call:
+            return
+        keep = self._keeps(call)
+        end = b"\r\n" if keep else b"Connection: close\r\n\r\n"
+        self.transport.writelines([b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b" % (
+            status, REASONS[status], b"".join(headers), size, end), *body])
+        self._answered(call, keep, status)
+
+    def _keeps(self, call: Call) -> bool:
+        return call.keep and not self.host.duty.away and (not self.closing or bool(self.waiting))
+
+    def _answered(self, call: Call, keep: bool, status: int = 200) -> None:
+        call.settle(status)
+        self.current = None
+        self.active_at = self.host.clock.turn()
+        if self.transport is None:
+            return
+        if self.arriving is call:  # a client that is cut off while it sends may never see its answer
+            call.dropped, call.keep = True, keep
+            self.flow(True)
+        elif not keep:  # else it was told that it may go on, and may be about to
+            self.closing = True
+            self.waiting.clear()
+            if call.fault and not self.half_closed:
+                self.transport.write_eof()
+            else:
+                self.transport.close()
+        elif self.waiting:
+            self._step()
+        elif self.arriving is None:
+            self.front.idle[self] = None
+
+    def begin_stream(self, call: Call, answer: Answer) -> None:
+        if self.transport is None:
+            return
+        self.chunked = answer.length is None and call.chunks_allowed
+        if answer.length is None and not self.chunked:
+            call.keep = False
+        framing = (b"Content-Length: %d\r\n" % answer.length if answer.length is not None
+                   else b"Transfer-Encoding: chunked\r\n" if self.chunked else b"")
+        call.keep = self._keeps(call)
+        self.transport.write(b"HTTP/1.1 200 OK\r\n%b%b%b\r\n" % (
+            b"".join(answer.passed), framing, b"" if call.keep else b"Connection: close\r\n"))
+        for data in answer.body:
+            self.stream(data)
+
+    def stream(self, data: bytes) -> None:
+        """A part of a long answer."""
+        if self.transport is None:
+            return
+        if self.chunked:
+            self.transport.writelines([b"%x\r\n" % len(data), data, b"\r\n"])
+        else:
+            self.transport.write(data)
+
+    def end_stream(self, call: Call, whole: bool) -> None:
+        if self.transport is None:
+            return
+        if not whole:
+            call.settle(502)  # cut off: the client can tell
+            self.transport.abort()
+            return
+        if self.chunked:
+            self.transport.write(b"0\r\n\r\n")
+        self._answered(call, call.keep)
+
+    def _arrival_ms(self) -> float:
+        return ARRIVE_MS + (self.arriving.size / BODY_RATE if self.arriving is not None else 0.0)
+
+    def close_if_over(self, now: float) -> None:
+        if self.transport is None:
+            return
+        if self.stopped_at is not None and not self.closing:  # it is not the client that is slow
+            call = self.current
+            if now - self.stopped_at > STALLED_MS and call is not None and call.open is not None:
+                self.host.stuck(call.open)
+            return
+        quiet = now - self.active_at
+        busy = self.current is not None and self.current is not self.arriving and not self.paused
+        if self.closing and not busy and not self.waiting and quiet > LINGER_MS:
+            self.transport.abort()
+        elif self.paused and quiet > STALLED_MS:
+            self.transport.abort()
+        elif not busy and self.due_since is not None and now - self.due_since > self._arrival_ms():
+            if self.arriving is not None and not self.closing:
+                self._fault(408)
+                self._step()
+            else:
+                self.transport.close()
+        elif not busy and quiet > IDLE_MS:
+            self.transport.close()
--- a/notchflow/net/upstream.py
+++ b/notchflow/net/connection.py
@@ -1,29 +1,19 @@
-"""Upstream connections: attempts at cache nodes, and the keep-alive pool to each of them."""
+"""A connection to a cache node: one exchange at a time, its answer parsed; and for how long one may rest."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
-import os
-import socket
-from bisect import bisect_right, insort
-from collections.abc import Collection, Sequence
+from bisect import bisect_right
+from collections.abc import Sequence
 from typing import Protocol, cast
 
 from httptools import HttpParserError, HttpResponseParser
 
-from notchflow import wire
-from notchflow.interface import Status
-from notchflow.net.exchange import HOP_BY_HOP, Answer, Dialler, Open
-from notchflow.net.timers import Handle
+from notchflow.net.exchange import HOP_BY_HOP, Answer, Dialler
 
 log = logging.getLogger(__name__)
 
-OK = Status.OK  # looked up for every request
-
-HOLD_MAX = 64 << 10  # bytes of an answer held whole, so that a broken one can be retried; more is streamed
-LAST_CHUNK = b"0\r\n\r\n"
 HEAD_MAX = 32 << 10
 LENGTH_MAX = 32 << 20  # no value is so long: who announces more is spoilt, and another node may still serve
 RETIRE_SHARE = 0.7
@@ -110,6 +100,19 @@
         """The node reads more slowly than the request comes, or has caught up."""
 
 
+class Owner(Protocol):
+    """The pool that a connection belongs to."""
+
+    host: Dialler
+    limit: IdleLimit
+
+    def opened(self, connection: Connection) -> None: ...
+
+    def closed(self, connection: Connection) -> None: ...
+
+    def release(self, connection: Connection) -> None: ...
+
+
 class Connection(asyncio.Protocol):
     """A connection to a node; it carries one exchange at a time."""
 
@@ -117,7 +120,7 @@
                  "surplus", "streaming", "delimited", "keep", "sent", "counted", "idle_since", "heard_at",
                  "begun_at", "age", "held", "turn_over")
 
-    def __init__(self, pool: Pool) -> None:
+    def __init__(self, pool: Owner) -> None:
         self.pool = pool
         self.transport: asyncio.Transport | None = None
         self.parser: HttpResponseParser | None = None
@@ -333,293 +336,3 @@
         assert self.exchange is not None
         self.streaming = self.exchange.stream(self.answer)
         self.answer.body.clear()
-
-
-class Pool:
-    """The connections to one address: the last to become idle is used first, so that the others age out."""
-
-    __slots__ = ("host", "address", "connect_ms", "limit", "idle", "dials", "adopting", "retired")
-
-    def __init__(self, host: Dialler, address: tuple[str, int], connect_ms: float, limit: IdleLimit) -> None:
-        self.host = host
-        self.address = address
-        self.connect_ms = connect_ms
-        self.limit = limit
-        self.idle: list[Connection] = []
-        self.dials: dict[Connection, tuple[asyncio.Task[None], Exchange, Handle]] = {}
-        self.adopting: dict[Connection, asyncio.Task[None]] = {}
-        self.retired = False
-
-    def send(self, exchange: Exchange, now: float) -> None:
-        if self.retired:  # whoever decided on it did so by an older list
-            self.host.soon(exchange.starved, None)
-            return
-        while self.idle:
-            connection = self.idle[-1]
-            if now - connection.idle_since > self.limit.ms:
-                break  # the youngest is too old; they are closed in the sweep
-            self.idle.pop()
-            if connection.transport is not None and not connection.transport.is_closing():
-                connection.start(exchange, now, now - connection.idle_since)
-                return
-        if not self.host.descriptor():
-            self.host.soon(exchange.starved, None)
-            return
-        connection = Connection(self)
-        task = self.host.loop.create_task(self._dial(connection))
-        timer = self.host.at(now + self.connect_ms, self._overdue, connection)
-        self.dials[connection] = task, exchange, timer
-
-    async def _dial(self, connection: Connection) -> None:
-        try:
-            await self.host.loop.create_connection(lambda: connection, *self.address)
-        except asyncio.CancelledError:
-            self._uncount(connection)
-        except OSError:
-            self._uncount(connection)
-            self._undone(connection)
-
-    def _overdue(self, connection: Connection) -> None:
-        if connection in self.dials:
-            self.dials[connection][0].cancel()
-            self._undone(connection)
-
-    def _undone(self, connection: Connection) -> None:
-        dial = self.dials.pop(connection, None)
-        if dial is not None:
-            self.host.timers.cancel(dial[2])
-            dial[1].failed(False)
-
-    def _uncount(self, connection: Connection) -> None:
-        if connection.counted:
-            connection.counted = False
-            self.host.freed()
-
-    def adopt(self, sock: socket.socket, idle_ms: float) -> None:
-        """Keeps a connection, counted already, that another process of this proxy had idle for so long."""
-        sock.setblocking(False)
-        connection = Connection(self)
-        connection.idle_since = self.host.clock.now() - idle_ms
-        self.adopting[connection] = self.host.loop.create_task(self._adopt(connection, sock))
-
-    async def _adopt(self, connection: Connection, sock: socket.socket) -> None:
-        try:
-            await self.host.loop.create_connection(lambda: connection, sock=sock)
-        except OSError:
-            del self.adopting[connection]
-            sock.close()
-            self._uncount(connection)
-
-    def pass_on(self, most: int) -> list[tuple[int, float]]:
-        """Gives up idle connections, the youngest first and so many at most, for another process to go on
-        with: each one's descriptor, and for how long it has been idle, in milliseconds."""
-        given: list[tuple[int, float]] = []
-        now = self.host.clock.now()
-        while self.idle and len(given) < most and now - self.idle[-1].idle_since <= self.limit.ms:
-            connection = self.idle.pop()
-            if connection.transport is not None and not connection.transport.is_closing():
-                descriptor = os.dup(connection.transport.get_extra_info("socket").fileno())
-                given.append((descriptor, now - connection.idle_since))
-                connection.close()  # this process's descriptor alone
-        return given
-
-    def opened(self, connection: Connection) -> None:
-        """A dial has succeeded, or a connection that another process had is open here."""
-        if self.adopting.pop(connection, None) is not None:
-            if self.retired:
-                connection.close()
-            else:
-                insort(self.idle, connection, key=_idle_since)
-            return
-        dial = self.dials.pop(connection, None)
-        if dial is None:
-            connection.close()
-            connection.transport = None  # that it is lost is not told where the dial was cancelled
-        elif self.retired:
-            self.host.timers.cancel(dial[2])
-            connection.close()
-            dial[1].failed(False)
-        else:
-            self.host.timers.cancel(dial[2])
-            connection.start(dial[1], self.host.clock.now())
-
-    def give_up(self, exchange: Exchange) -> None:
-        for connection, (task, waiting, timer) in self.dials.items():
-            if waiting is exchange:
-                del self.dials[connection]
-                self.host.timers.cancel(timer)
-                task.cancel()
-                return
-
-    def release(self, connection: Connection) -> None:
-        if self.retired:
-            connection.close()
-            return
-        connection.idle_since = self.host.clock.now()  # its age decides whether and by when it is used again
-        self.idle.append(connection)
-
-    def closed(self, connection: Connection) -> None:
-        self._uncount(connection)
-        if connection in self.idle:
-            self.idle.remove(connection)
-
-    def sweep(self, now: float) -> None:
-        keep = 0
-        while keep < len(self.idle) and (self.retired or self.idle[keep].idle_since + self.limit.ms <= now):
-            keep += 1
-        for connection in self.idle[:keep]:
-            connection.close()
-        del self.idle[:keep]
-
-    def undial(self) -> None:
-        """What waits for a connection goes elsewhere: it must not begin at a node that has begun to drain."""
-        for connection, (task, _, _) in list(self.dials.items()):
-            task.cancel()
-            self._undone(connection)
-
-    def retire(self) -> None:
-        """Nothing new goes here; what is out may finish."""
-        self.retired = True
-        self.sweep(0.0)
-
-
-def _chunk(data: bytes) -> bytes:
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
-def _idle_since(connection: Connection) -> float:
-    return connection.idle_since
-
-
-class Courier(Dialler, Protocol):
-    """What attempts need of the host."""
-
-    def outcome(self, attempt: Attempt, status: Status, answer: Answer | None) -> None: ...
-
-    def stream_started(self, attempt: Attempt, answer: Answer) -> bool: ...
-
-
-class Attempt:
-    """One attempt at a node. It ends once, with the outcome that the facts prove."""
-
-    __slots__ = ("host", "open", "number", "node", "pool", "begun_at", "expires_at", "connection", "over",
-                 "started", "hold_max", "timer", "unfinished")
-
-    def __init__(self, host: Courier, item: Open, number: int, node: int, pool: Pool, now: float,
-                 expires: float) -> None:
-        self.host, self.open = host, item
-        self.number, self.node, self.pool = number, node, pool
-        self.begun_at, self.expires_at = now, expires
-        self.connection: Connection | None = None
-        self.over = self.started = False
-        self.hold_max = HOLD_MAX
-        self.timer: Handle | None = None
-        self.unfinished = False
-
-    def chunks(self, now: float) -> list[bytes]:
-        """The request as it goes out; its budget is what this attempt has left."""
-        call = self.open.call
-        if call.flowing:
-            self.unfinished = not call.whole
-            call.client.flow(True)
-        left = max(self.expires_at - now, 1.0) / 1e3
-        head = b"%b %b HTTP/1.1\r\nX-Budget: %.3f\r\n%b\r\n"
-        data = [head % (call.method, call.url, left, b"".join(call.passed)), *call.body]
-        if call.chunked:
-            data[1:] = [_chunk(piece) for piece in call.body]
-            if call.whole:
-                data.append(LAST_CHUNK)
-        return data
-
-    def more(self, pieces: Sequence[bytes]) -> None:
-        """Further pieces of the body; before there is a connection they are held with the rest."""
-        if self.connection is not None:
-            self.connection.more([_chunk(p) for p in pieces] if self.open.call.chunked else pieces)
-
-    def body_ended(self) -> None:
-        """The body is whole: from now on the node's time counts, and the request can run."""
-        self.unfinished = False
-        if self.connection is not None:
-            self.connection.more((LAST_CHUNK,) if self.open.call.chunked else ())
-
-    def unwritten_to(self, pools: Collection[object]) -> bool:
-        """Whether it goes to one of these pools, and a part of the request is still to be written."""
-        return self.pool in pools and self.connection is not None and not self.connection.sent
-
-    def blocked(self, on: bool) -> None:
-        """The node reads more slowly than the body comes, or has caught up."""
-        if not self.over:
-            self.open.call.client.flow(not on)
-
-    def stream(self, answer: Answer) -> bool:
-        if answer.code != 200 or self.unfinished:
-            self._end(_status(answer, not self.unfinished))
-            return False
-        self.started = True
-        if not self.host.stream_started(self, answer):
-            self._end(Status.CANCELLED)
-            return False
-        return True
-
-    def streamed(self, data: bytes) -> None:
-        """A part of a large answer."""
-        self.open.call.client.stream(data)
-
-    def answered(self, answer: Answer, sent: bool) -> None:
-        """A whole answer has come."""
-        if not self.over:
-            self.over = True
-            self.host.outcome(self, _status(answer, sent), answer)
-
-    def failed(self, sent: bool) -> None:
-        self._end(Status.RESET if sent else Status.CONNECT_FAILED)
-
-    def written(self) -> None:
-        """The last byte of the request has gone."""
-        counts = self.open.counts
-        if counts is not None:
-            counts.relayed += 1
-        if self.open.call.flowing:  # a body that took its time is no sign of a slow node
-            self.begun_at = self.host.clock.now()
-
-    def starved(self, _: object = None) -> None:
-        """There was no descriptor to dial with: nothing went out, and the node is not to blame."""
-        self._end(Status.MOOT)
-
-    def abandon(self, status: Status) -> None:
-        """Stops waiting. Before its last byte was written a request cannot have run."""
-        if status is Status.TIMEOUT and (self.connection is None or not self.connection.sent):
-            status = Status.CONNECT_FAILED
-        self._end(status)
-
-    def _end(self, status: Status) -> None:
-        if self.over:
-            return
-        self.over = True
-        if self.connection is not None:
-            self.connection.abandon()
-            self.connection = None
-        else:
-            self.pool.give_up(self)
-        self.host.outcome(self, status, None)
-
-
-def _status(answer: Answer, sent: bool) -> Status:
-    if answer.code == 200 and sent:
-        return OK
-    if answer.code in (503, 504) and answer.fields.get(b"x-rejected") == b"1":
-        return Status.FULL
-    if answer.code == 200:
-        return Status.RESET  # before the request was written whole, this cannot be its answer
-    return Status.ERROR
-
-
-def load_report(answer: Answer, names: Sequence[str]) -> dict[str, float] | None:
-    raw = answer.fields.get(b"x-load-report")
-    if raw is None or not names:
-        return None
-    try:
-        data = json.loads(raw)
-        return {wire.LOADS.get(n, n): float(data[n]) for n in names if n in data}
-    except (ValueError, TypeError):
-        return None
--- /dev/null
+++ b/notchflow/net/desk.py
@@ -0,0 +1,360 @@
+"""Requests in hand: the module hears what happens to them, and what it decides is carried out.
+
+Here a request gets its one final answer, and deadlines are kept whatever the module does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from notchflow.interface import (
+    Action,
+    Arrived,
+    Cancel,
+    ClientGone,
+    Event,
+    Fail,
+    Outcome,
+    Probe,
+    Probed,
+    Refuse,
+    Request,
+    Send,
+    SetTimer,
+    Settings,
+    Spent,
+    Status,
+    StreamStarted,
+    Timer,
+    Watch,
+)
+from notchflow.net.attempt import Attempt, load_report
+from notchflow.net.clock import Clock
+from notchflow.net.config import Config
+from notchflow.net.discovery import Discovery
+from notchflow.net.exchange import Answer, Call, Open
+from notchflow.net.front import Front
+from notchflow.net.pool import Pool
+from notchflow.net.timers import Calendar, Handle
+from notchflow.operations.figures import Figures
+from notchflow.policy.balancer import Balancer
+
+log = logging.getLogger(__name__)
+
+OK = Status.OK  # looked up for every request
+LATE_MS = 2.0
+
+
+class Desk:
+    """What one proxy has in hand: requests and their attempts, timers, descriptors."""
+
+    discovery: Discovery
+    front: Front
+    fronts: list[Front]
+    settings: Settings
+    classes: dict[str, float]  # their deadlines
+    longest_ms: float
+    max_attempts: int
+    descriptors: int
+    descriptors_whole: int
+    held_max: float
+    held_whole: float
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, clock: Clock | None = None) -> None:
+        self.config, self.loop = config, loop
+        self.clock = clock or Clock(loop)
+        self.balancer = Balancer(config.settings, config.seed, self.clock.now())
+        self.open: dict[int, Open] = {}
+        self.numbers = 0
+        self.pools: dict[int, Pool] = {}
+        self.inbox: deque[Event] = deque()
+        self.telling = False
+        self.now = 0.0  # when the module was last asked: what it decided begins then
+        self.timers = Calendar()
+        self.armed: asyncio.TimerHandle | None = None
+        self.armed_for = float("inf")
+        self.used = 0
+        self.held = 0
+        self.answer_by = float("inf")  # no request is held longer than this, once the process is to end
+        self.figures = Figures()
+
+    # -- time
+    def at(self, due: float, call: Callable[..., None], argument: Any = None) -> Handle:
+        """Calls back at a time, never before, unless `timers.cancel` is given the handle."""
+        handle = self.timers.set(due, call, argument)
+        if due < self.armed_for:
+            self._arm(due)
+        return handle
+
+    def soon(self, call: Callable[..., None], argument: Any) -> None:
+        self.loop.call_soon(call, argument)
+
+    def _arm(self, due: float) -> None:
+        if self.armed is not None:
+            self.armed.cancel()
+        self.armed_for = due
+        self.armed = self.loop.call_later(max(due - self.clock.now(), 0.0) / 1e3, self._run_timers, due)
+
+    def _run_timers(self, due: float, again: bool = False) -> None:
+        now = self.clock.now()
+        if not again and now > due + LATE_MS:
+            # The loop was busy: answers may be waiting in the kernel, and nodes must not be blamed for that.
+            self.armed = self.loop.call_later(0.001, self._run_timers, due, True)
+            return
+        for call, argument in self.timers.due(now):
+            try:
+                call(argument)
+            except Exception:
+                log.exception("a timer failed")
+        self.armed, self.armed_for = None, float("inf")
+        following = self.timers.next_due()
+        if following < self.armed_for:
+            self._arm(following)
+
+    # -- budgets
+    def descriptor(self) -> bool:
+        if self.used >= self.descriptors and not self._spare():
+            return False
+        self.used += 1
+        return True
+
+    def freed(self) -> None:
+        self.used -= 1
+        for front in self.fronts:
+            front.resume()
+
+    def _spare(self) -> bool:
+        idle = [p for p in self.pools.values() if p.idle]
+        if idle:
+            pool = min(idle, key=lambda p: p.idle[0].idle_since)
+            pool.idle.pop(0).close()
+            return True
+        return any(front.close_idle() for front in self.fronts)
+
+    # -- the module
+    def tell(self, event: Event) -> None:
+        """Hands the module an event and carries out its answer; what follows from that comes after it."""
+        if self.telling:
+            self.inbox.append(event)
+            return
+        self.telling = True
+        while True:
+            try:
+                self.now = now = self.clock.now()
+                for action in self.balancer.handle(now, event):
+                    if isinstance(action, Send):
+                        self._send(action.id, action.node, action.timeout_ms)
+                    else:
+                        self._perform(action)
+            except Exception:  # costs this one request at most, never the process
+                log.exception("the module failed on %s", type(event).__name__)
+                self._give_up(event)
+            if not self.inbox:
+                break
+            event = self.inbox.popleft()
+        self.telling = False
+
+    def _give_up(self, event: Event) -> None:
+        number = getattr(event, "id", None)
+        item = self.open.get(number) if number is not None else None
+        if item is not None and not item.done:
+            self._fail(item)
+            if not isinstance(event, ClientGone):
+                self.inbox.append(ClientGone(item.id))
+
+    def _perform(self, action: Action) -> None:
+        match action:
+            case Refuse(number, wait):
+                item = self.open.get(number)
+                if item is not None and not item.done:
+                    self._end(item)
+                    item.call.client.refuse(item.call, wait)
+            case Fail(number):
+                item = self.open.get(number)
+                if item is not None:
+                    self._fail(item)
+            case Cancel(number, attempt):
+                item = self.open.get(number)
+                out = item.out.get(attempt) if item is not None else None
+                if out is not None and self.settings.limits.cancel and not out.started:
+                    out.abandon(Status.CANCELLED)
+            case SetTimer(at, token):
+                self.at(at, self._timer, token)
+            case Watch(on):
+                self.discovery.watch(on)
+            case Probe(node):
+                self.inbox.append(Probed(node, Status.MOOT))
+
+    def _timer(self, token: str) -> None:
+        self.tell(Timer(token))
+
+    def _send(self, number: int, node: int, timeout: float | None) -> None:
+        item = self.open.get(number)
+        if item is None:
+            log.error("the module sent a request that is over")
+            return
+        attempt_number, item.attempts = item.attempts, item.attempts + 1
+        pool, now = self.pools.get(node), self.now
+        if (pool is None or item.done or item.streaming is not None or now >= item.deadline
+                or attempt_number >= self.max_attempts or item.call.spent
+                or (item.out and not self.settings.limits.second_copies)):
+            self.inbox.append(Outcome(number, attempt_number, node, Status.MOOT, closed=item.done))
+            return
+        expires = item.deadline if timeout is None else min(item.deadline, now + timeout)
+        attempt = Attempt(self, item, attempt_number, node, pool, now, expires)
+        item.out[attempt_number] = attempt
+        if expires < item.deadline:
+            attempt.timer = self.at(expires, self._expire, attempt)
+        pool.send(attempt, now)
+
+    def _expire(self, attempt: Attempt) -> None:
+        if not attempt.over and not attempt.started:
+            attempt.abandon(Status.TIMEOUT)
+
+    # -- the life of a request
+    def request(self, call: Call, cls: str, budget_ms: float | None, key: str | None = None,
+                tenant: str | None = None, hint_ms: float | None = None, size: float | None = None,
+                retry: bool = False, write: bool = False, earlier: float | None = None) -> None:
+        """Takes a request in hand: from here on it is owed its one final answer. `earlier`: so many
+        milliseconds ago a request with the same effect may first have run."""
+        if budget_ms is None:
+            budget_ms = self.classes.get(cls, self.longest_ms)
+        self.numbers = number = self.numbers + 1
+        arriving = call.flowing and not call.whole
+        deadline = call.arrived_at + budget_ms
+        if deadline > self.answer_by:
+            deadline = self.answer_by
+        call.counts = self.figures.take(cls)
+        call.open = item = Open(number, call, deadline)
+        if deadline <= self.clock.now():
+            item.last = Status.TIMEOUT
+            self._fail(item)
+            return
+        if arriving:
+            item.budget_ms = budget_ms
+        self.open[number] = item
+        item.timer = self.at(deadline, self._deadline, number)
+        self.tell(Request(number, cls, deadline, key, tenant, hint_ms, size, retry, write, arriving,
+                          None if earlier is None else self.clock.now() - earlier))
+
+    # -- bodies that flow
+    def body_came(self, item: Open, pieces: Sequence[bytes]) -> None:
+        """Pieces of a long body, for the attempts that are under way."""
+        for attempt in list(item.out.values()):
+            attempt.more(pieces)
+
+    def body_whole(self, item: Open) -> None:
+        """All of it has come: the client's time counts from now on."""
+        if item.done:
+            return
+        item.deadline = min(self.clock.now() + item.budget_ms, self.answer_by)
+        if item.timer is not None:
+            self.timers.cancel(item.timer)
+        item.timer = self.at(item.deadline, self._deadline, item.id)
+        for attempt in list(item.out.values()):
+            attempt.body_ended()
+        self.tell(Arrived(item.id, item.deadline))
+
+    def spend(self, item: Open) -> bool:
+        """Whether the start of the body need not be held any more, as a box is getting it."""
+        if item.done or len(item.out) != 1 or any(a.connection is None for a in item.out.values()):
+            return False
+        self.tell(Spent(item.id))
+        return True
+
+    def stuck(self, item: Open) -> None:
+        """A box does not take the body any more: without its last byte it cannot have run."""
+        self._call_off(item)
+
+    def _call_off(self, item: Open) -> None:
+        for attempt in list(item.out.values()):
+            attempt.abandon(Status.CONNECT_FAILED)
+
+    def _deadline(self, number: int) -> None:
+        item = self.open.get(number)
+        if item is None or item.streaming is not None:
+            return
+        for attempt in list(item.out.values()):
+            attempt.abandon(Status.TIMEOUT)
+        if not item.done:  # the module held it too long
+            self._fail(item)
+            self.tell(ClientGone(item.id))
+
+    def client_gone(self, item: Open) -> None:
+        if item.done:
+            return
+        self._end(item)
+        if item.streaming is not None:
+            item.streaming.abandon(Status.CANCELLED)
+        if item.call.flowing and not item.call.whole:  # whatever may be cancelled: the rest never comes
+            self._call_off(item)
+        self.tell(ClientGone(item.id))
+
+    def stream_started(self, attempt: Attempt, answer: Answer) -> bool:
+        item = attempt.open
+        if item.done or item.streaming is not None:
+            return False
+        item.streaming = attempt
+        item.call.client.begin_stream(item.call, answer)
+        self.tell(StreamStarted(item.id, attempt.number, attempt.node))
+        return True
+
+    def pause(self, item: Open, paused: bool) -> None:
+        connection = item.streaming.connection if item.streaming else None
+        if connection is not None:
+            if not paused:
+                connection.heard_at = self.clock.now()
+            connection.hold(paused)
+
+    def outcome(self, attempt: Attempt, status: Status, answer: Answer | None) -> None:
+        """An attempt has ended. The first 200 and the end of a stream are the request's final answer."""
+        item = attempt.open
+        item.out.pop(attempt.number, None)
+        item.last = status
+        if item.call.ticket is not None and not status.never_ran:
+            item.call.ran = True
+        if not item.done:
+            call = item.call
+            if attempt.started:
+                item.done = True
+                call.client.end_stream(call, status is OK)
+            elif answer is not None and status is OK:
+                item.done = True
+                call.client.serve(call, answer)
+        if item.streaming is attempt:
+            item.streaming = None  # else the two would keep one another until the collector comes
+        hit = load = None
+        if answer is not None:
+            ended, hit = answer.begun_at, answer.fields.get(b"x-hit")
+            if b"x-load-report" in answer.fields:
+                load = load_report(answer, self.config.report_fields)
+        else:
+            ended = self.clock.turn()
+        if attempt.timer is not None:
+            self.timers.cancel(attempt.timer)
+        if item.done and not item.out:
+            self._forget(item)
+        took = ended - attempt.begun_at
+        self.tell(Outcome(item.id, attempt.number, attempt.node, status, took if took > 0.0 else 0.0,
+                          item.done, None if hit is None else hit == b"hit", load))
+
+    def _fail(self, item: Open) -> None:
+        if not item.done:
+            self._end(item)
+            late = item.last is Status.TIMEOUT or self.clock.now() >= item.deadline
+            item.call.client.fail(item.call, 504 if late else 502)
+
+    def _end(self, item: Open) -> None:
+        item.done = True
+        if not item.out:
+            self._forget(item)
+
+    def _forget(self, item: Open) -> None:
+        """Nothing is owed and nothing is out: its deadline matters no more."""
+        self.open.pop(item.id, None)
+        if item.timer is not None:
+            self.timers.cancel(item.timer)
--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -9,10 +9,11 @@
 
 from notchflow.interface import ListKind, Membership
 from notchflow.net.clock import Clock
+from notchflow.net.connection import Connection, IdleLimit
 from notchflow.net.exchange import Answer, Teller
 from notchflow.net.listing import Address, Listing, decode_listing, node_id, parse_address
+from notchflow.net.pool import Pool
 from notchflow.net.timers import Calendar, Handle
-from notchflow.net.upstream import Connection, IdleLimit, Pool
 from notchflow.net.watch import Action, Ask, Drop, Failed, Take, Watch
 
 __all__ = ["Address", "Call", "Discovery", "Listing", "decode_listing", "node_id", "parse_address"]
--- /dev/null
+++ b/notchflow/net/front.py
@@ -0,0 +1,209 @@
+"""The listener: clients' connections accepted, counted, closed for room, passed on."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from itertools import islice
+from typing import Any
+
+from notchflow.net.client import Client
+from notchflow.net.exchange import Door, Gatekeeper
+
+log = logging.getLogger(__name__)
+
+ACCEPTS_PER_TURN = 64
+SWEEP_PART = 500  # clients looked at in one turn of the loop: a fraction of a millisecond
+BACKLOG = 4_096
+SERVED_SHARE = 0.75
+# Who makes room for others must have been still for so long: a connection just made, or just answered, is
+# about to carry a request, which would be lost, and its client would come back at once for another's place.
+STILL_MS = 100.0
+LOOKED_AT = 8  # idle connections, of those still for longest, before room is said not to be there
+ROOM_AGAIN_MS, ROOM_TOLD_MS = 20.0, 1_000.0
+
+
+class Front:
+    """The listener and its clients."""
+
+    def __init__(self, host: Gatekeeper, address: tuple[str, int], door: Door | None = None) -> None:
+        self.host = host
+        self.door = door
+        self.address = address
+        self.listener: socket.socket | None = None
+        self.clients: dict[Client, None] = {}
+        self.idle: dict[Client, None] = {}
+        self.accepting = False
+        self.backlog_empty = False
+        self.inherited: int | None = None
+        self.adopting: set[asyncio.Task[Any]] = set()
+        self.sweeping: list[Client] = []
+        self.looking = False  # it is looked for room again in a moment
+        self.short_told = -ROOM_TOLD_MS  # when the log last told that there is none
+
+    def listen(self) -> None:
+        """Opens the listener, or takes the one that is inherited: others hold it too, so that it is neither
+        bound nor shut down here."""
+        if self.inherited is not None:
+            self.listener = inherit(self.inherited)
+            self.resume()
+            return
+        self.listener = socket.socket(socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.setblocking(False)
+        self.listener.bind(self.address)
+        self.listener.listen(BACKLOG)
+        self.resume()
+
+    def resume(self) -> None:
+        """Accepts again, if there is a listener and room."""
+        if not self.accepting and self.listener is not None:
+            self.accepting = True
+            self.host.loop.add_reader(self.listener, self._accept)
+
+    def _pause(self) -> None:
+        if self.accepting and self.listener is not None:
+            self.accepting = False
+            self.host.loop.remove_reader(self.listener)
+
+    def _room(self) -> bool:
+        host = self.host
+        count = len(self.clients) + len(self.adopting)
+        if host.used < host.descriptors and count < SERVED_SHARE * host.descriptors_whole:
+            return True
+        return self.close_idle()
+
+    def close_idle(self) -> bool:
+        """Makes room by closing a connection that is surely not about to carry a request, if there is one."""
+        now = self.host.clock.now()
+        for client in islice(self.idle, LOOKED_AT):
+            if now < client.active_at + STILL_MS:
+                break  # and so are all that became idle after it
+            if client.transport is not None and client.silent():
+                self._let_go(client)
+                return True
+        return False
+
+    def _crowded(self) -> None:
+        """What is not accepted now waits in the listener's queue, where it is not lost."""
+        self._pause()
+        now = self.host.clock.now()
+        if not self.looking:
+            self.looking = True
+            self.host.at(now + ROOM_AGAIN_MS, self._look_again)
+        if now >= self.short_told + ROOM_TOLD_MS:
+            self.short_told = now
+            log.warning("no descriptors left: %d of %d in use, %d clients, %d of them idle; accepting pauses",
+                        self.host.used, self.host.descriptors, len(self.clients), len(self.idle))
+
+    def _look_again(self, _: object = None) -> None:
+        self.looking = False
+        self.resume()
+
+    def _let_go(self, client: Client) -> None:
+        del self.idle[client]
+        client.closing = True
+        if client.transport is not None:
+            client.transport.close()
+
+    def _accept(self) -> None:
+        listener = self.listener
+        self.backlog_empty = False
+        for _ in range(ACCEPTS_PER_TURN):
+            if listener is None:
+                return
+            if not self._room():
+                self._crowded()
+                return
+            try:
+                sock, _address = listener.accept()
+            except BlockingIOError:
+                self.backlog_empty = True
+                return
+            except OSError as error:
+                log.warning("accept failed: %s", error)
+                self._pause()
+                self.host.at(self.host.clock.now() + 50.0, self._look_again)
+                return
+            sock.setblocking(False)
+            self.host.used += 1
+            self.adopt(sock)
+
+    def adopt(self, sock: socket.socket, known: bool = False) -> None:
+        """Serves the client on this connection, which is counted already."""
+        task = self.host.loop.create_task(self._adopt(sock, known))
+        self.adopting.add(task)
+        task.add_done_callback(self.adopting.discard)
+
+    async def _adopt(self, sock: socket.socket, known: bool) -> None:
+        try:
+            await self.host.loop.connect_accepted_socket(lambda: Client(self, known), sock)
+        except OSError:
+            sock.close()
+            self.host.freed()
+
+    def close(self) -> bool:
+        if self.listener is not None:
+            self._accept()
+            if self.backlog_empty:
+                self.shut()
+        if self.listener is None and not self.adopting:
+            for client in list(self.idle):
+                self._let_go(client)
+        return self.listener is None and not self.adopting and not self.clients
+
+    def shut(self) -> None:
+        """Closes the listener."""
+        if self.listener is not None:
+            self._pause()
+            self.listener.close()
+            self.listener = None
+
+    def pass_on(self, most: int) -> list[int]:
+        """Gives up idle connections, so many at most, for another process to go on with."""
+        given: list[int] = []
+        for client in list(self.idle):
+            if len(given) >= most:
+                break
+            descriptor = client.pass_on()
+            if descriptor is not None:
+                self.idle.pop(client, None)
+                given.append(descriptor)
+        return given
+
+    def close_still(self, now: float) -> None:
+        """Closes connections that carry nothing and are not to be held while clients are sent away."""
+        still = [c for c in self.idle if self.host.duty.overstays(now, c.active_at)]
+        for client in still:
+            self._let_go(client)
+
+    def lost(self, client: Client) -> None:
+        self.clients.pop(client, None)
+        self.idle.pop(client, None)  # else the dead stay for good, and closing one of them makes no room
+        self.host.freed()
+
+    def sweep(self, now: float) -> None:
+        """Closes clients that have been silent, or still, for too long. Very many are looked at in parts,
+        so that requests need not wait for it."""
+        if not self.sweeping:
+            self.sweeping = list(self.clients)
+            self._sweep_on(now)
+
+    def _sweep_on(self, now: float) -> None:
+        part, self.sweeping = self.sweeping[:SWEEP_PART], self.sweeping[SWEEP_PART:]
+        for client in part:
+            client.close_if_over(now)
+        if self.sweeping:
+            self.host.soon(self._sweep_on, now)
+
+
+def inherit(descriptor: int) -> socket.socket:
+    """The listening socket that the platform holds; an OSError says why it is none."""
+    listener = socket.socket(fileno=descriptor)
+    listens = listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    if listener.type != socket.SOCK_STREAM or not listens:
+        listener.detach()
+        raise OSError(f"descriptor {descriptor} (ROUTER_ACCEPT_FD) is no stream socket that listens")
+    listener.setblocking(False)
+    return listener
--- a/tests/emulator/test_sends.py
+++ b/tests/emulator/test_sends.py
@@ -19,7 +19,7 @@
 from notchflow.emulator.wires import Loop, Pipe
 from notchflow.interface import Event, ListKind, Membership, State
 from notchflow.net.listing import Listing
-from notchflow.net.upstream import Pool
+from notchflow.net.pool import Pool
 
 LONG = bool(os.environ.get("NOTCHFLOW_LONG"))
 MOMENTS = {True: (6_000.0, 31_000.0, 12_000.0), False: (1_500.0, 6_000.0, 12_000.0)}
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -10,7 +10,9 @@
 import pytest
 
 from notchflow.interface import Arrived, Outcome, Request, Send, Spent, Status, Timer
-from notchflow.net import downstream, upstream
+from notchflow.net import client as downstream
+from notchflow.net import connection
+from notchflow.net.client import STALLED_MS
 from notchflow.net.exchange import Call
 from tests.helpers import make_balancer, sends
 from tests.rig import Client, Peer, Rig, answer, run, until
@@ -189,7 +191,7 @@
             for box in rig.boxes:
                 box.raw = whole
             (kept,) = clients
-            kept.close_if_over(rig.host.clock.now() + downstream.STALLED_MS + 1)
+            kept.close_if_over(rig.host.clock.now() + STALLED_MS + 1)
             await pushing
             seen = await client.receive()
             assert seen is not None and seen.status == 200
@@ -373,7 +375,7 @@
 def test_neither_a_long_body_nor_a_long_answer_takes_more_than_one_read_of_a_turn(
         monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against 8 MiB read at once, while all other clients wait (100 ms beside a body of 32 MB)."""
-    reads: dict[type, list[bool]] = {downstream.Client: [], upstream.Connection: []}
+    reads: dict[type, list[bool]] = {downstream.Client: [], connection.Connection: []}
     for kind, seen in reads.items():
         received = kind.data_received  # type: ignore[attr-defined]
 
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -9,7 +9,7 @@
 import pytest
 
 from notchflow.net.console import CALLERS_MAX
-from notchflow.net.downstream import inherit
+from notchflow.net.front import inherit
 from tests.rig import Client, Rig, Seen, read_message, run, serve_value, until
 
 ANY = ("127.0.0.1", 0)
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -8,7 +8,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from notchflow.net import downstream
+from notchflow.net import front
 from tests.rig import Client, Rig, Seen, answer, run, serve_value, until
 
 GOOD = b"GET /api/00aa HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: read\r\n\r\n"
@@ -334,7 +334,7 @@
 
 def test_no_client_that_is_about_to_ask_makes_room(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against new connections that close one another: each client came back at once, for the next."""
-    monkeypatch.setattr(downstream, "STILL_MS", 60_000.0)  # whatever the machine's pace
+    monkeypatch.setattr(front, "STILL_MS", 60_000.0)  # whatever the machine's pace
 
     async def test() -> None:
         async with Rig(limits={"sockets": 44}) as rig:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -35,7 +35,7 @@
 
 def test_no_module_imports_one_that_imports_it() -> None:
     graph = {name: imports(name) for name in MODULES}
-    assert graph[f"{PROGRAM}.net.host"] >= {f"{PROGRAM}.net.upstream"}, "the walk sees what there is"
+    assert graph[f"{PROGRAM}.net.host"] >= {f"{PROGRAM}.net.pool"}, "the walk sees what there is"
     try:
         TopologicalSorter(graph).prepare()
     except CycleError as error:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -6,7 +6,7 @@
 import random
 
 from notchflow.interface import Outcome, Status
-from notchflow.net.upstream import FADE_MS, IdleLimit
+from notchflow.net.connection import FADE_MS, IdleLimit
 from tests.rig import Rig, Seen, answer, run, serve_value, until
 
 
