A client that has gone: nothing begins for it any more, whatever was on the way

Cause: Client.eof_received went on with a client that had sent its end as if it were half-closed, so a dial that came up late was used (Pool.opened), a failed attempt was followed by another and a second copy went out. Two more of the kind: where Limits.Cancel is not given a dial went on after a reset; and of requests sent ahead, 16 and more, nothing is read, so that the client's end lay unread behind them while all were sent on. Ruled out: a reset (connection_lost ends the request at once where cancelling is allowed); hand-over (idle connections alone).

Mend: who has closed is asked at the one place where the first byte goes out on a new connection (Attempt.wanted), and before a further attempt and before a request is taken up. Where nothing is read the system is asked (POLLRDHUP). What went out before may still bring its answer; what has not begun 50 ms after the end is refused, as it never ran. A dial that is not wanted any more is kept for the next request.

--- a/notchflow/emulator/sends.py
+++ b/notchflow/emulator/sends.py
@@ -98,6 +98,10 @@
     def flow(self, on: bool) -> None:
         """The body comes as it comes."""
 
+    def gone(self, now: float) -> bool:
+        """Nobody leaves here."""
+        return False
+
 
 class WatchedHost(Host):
     """The host; what discovery tells it is told to the judge as well."""
--- a/notchflow/net/attempt.py
+++ b/notchflow/net/attempt.py
@@ -110,8 +110,12 @@
         if self.open.call.flowing:  # a body that took its time is no sign of a slow node
             self.begun_at = self.host.clock.now()
 
-    def starved(self, _: object = None) -> None:
-        """There was no descriptor to dial with: nothing went out, and the node is not to blame."""
+    def wanted(self, now: float) -> bool:
+        """Whether its request is in hand and its client there."""
+        return not (self.over or self.open.done or self.open.call.client.gone(now))
+
+    def unsent(self, _: object = None) -> None:
+        """There was no descriptor to dial with, or it was too late once there was a connection."""
         self._end(Status.MOOT)
 
     def abandon(self, status: Status) -> None:
--- a/notchflow/net/client.py
+++ b/notchflow/net/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import os
 import select
 from typing import cast
@@ -20,6 +21,10 @@
 IDLE_MS = 75_000.0
 STALLED_MS = 10_000.0
 LINGER_MS = 2_000.0
+# A client that sends no more may have gone for good: both look the same. For so long what it asked for may
+# still begin, as a half-closed client may send its end along with its request; after 100 ms it is a fault.
+LEFT_MS = 50.0
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 PREFIX = b"/api/"
 NO_HOST = b"Host: service.internal\r\n"
 READY = b"/health/ready"
@@ -28,7 +33,7 @@
 class Client(Arrival):
     """A client's connection."""
 
-    __slots__ = ("stepping", "paused", "chunked", "charged", "known")
+    __slots__ = ("stepping", "paused", "chunked", "charged", "known", "left_at")
 
     def __init__(self, front: Entrance, known: bool = False) -> None:
         super().__init__(front)
@@ -37,6 +42,7 @@
         self.paused = False
         self.chunked = False
         self.charged = 0
+        self.left_at = math.inf  # when it was read that the client sends no more
 
     def _call(self) -> Call:
         return Call(self, self.host)
@@ -51,12 +57,18 @@
         self.front.idle[self] = None
 
     def eof_received(self) -> bool:
-        self.half_closed = True
+        self.half_closed, self.left_at = True, self.host.clock.now()
         if self.current is self.arriving and not self.waiting:
             return False  # nothing is in hand, or its body ends in the midst
         self.closing = True
         return True
 
+    def gone(self, now: float) -> bool:
+        if self.transport is None or now > self.left_at + LEFT_MS:
+            return True
+        unread = self.held_off or self.stopped_at is not None  # an end that has come is not seen then
+        return unread and not self.half_closed and bool(self._poll(GONE))
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = self.parser = None
         self.closing = True
@@ -94,10 +106,13 @@
     # -- one request after the other
     def silent(self) -> bool:
         """Whether nothing has come that was not read yet: what is closed then is lost to its client."""
+        return not self._poll(select.POLLIN)
+
+    def _poll(self, events: int) -> list[tuple[int, int]]:
         assert self.transport is not None
         poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        poll.register(self.transport.get_extra_info("socket").fileno(), events)
+        return poll.poll(0)
 
     def pass_on(self) -> int | None:
         """Gives up the connection for another process to go on with, between two requests: had some of the
@@ -119,14 +134,14 @@
         self.stepping = True
         while self.waiting and self.current is None and not self.paused and self.transport is not None:
             call = self.current = self.waiting.popleft()
-            if self.held_off and not self.waiting:
-                self.held_off = False
-                self._read_on(True)
             try:
                 self._begin(call)
             except Exception:
                 log.exception("a request failed")
                 self.fail(call, 502)
+            if self.held_off and not self.waiting:
+                self.held_off = False
+                self._read_on(True)
         self.stepping = False
 
     def _begin(self, call: Call) -> None:
--- a/notchflow/net/connection.py
+++ b/notchflow/net/connection.py
@@ -92,7 +92,11 @@
 
     def failed(self, sent: bool) -> None: ...
 
-    def starved(self, _: object = None) -> None: ...
+    def wanted(self, now: float) -> bool:
+        """Whether it may still begin: asked at a new connection, before the first byte goes out."""
+
+    def unsent(self, _: object = None) -> None:
+        """Nothing of it went out, and the node is not to blame."""
 
     def written(self) -> None: ...
 
--- a/notchflow/net/desk.py
+++ b/notchflow/net/desk.py
@@ -201,6 +201,7 @@
         pool, now = self.pools.get(node), self.now
         if (pool is None or item.done or item.streaming is not None or now >= item.deadline
                 or attempt_number >= self.max_attempts or item.call.spent
+                or (attempt_number and item.call.client.gone(now))
                 or (item.out and not self.settings.limits.second_copies)):
             self.inbox.append(Outcome(number, attempt_number, node, Status.MOOT, closed=item.done))
             return
@@ -234,6 +235,10 @@
             item.last = Status.TIMEOUT
             self._fail(item)
             return
+        if call.client.gone(self.clock.now()):  # it never ran, which whoever is half-closed may be told
+            self._end(item)
+            call.client.refuse(call, 0.0)
+            return
         if arriving:
             item.budget_ms = budget_ms
         self.open[number] = item
--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -190,8 +190,11 @@
     def failed(self, sent: bool) -> None:
         self._end(None, "connection lost" if sent else "could not connect")
 
-    def starved(self, _: object = None) -> None:
-        self._end(None, "no descriptor left")
+    def wanted(self, now: float) -> bool:
+        return not self.over
+
+    def unsent(self, _: object = None) -> None:
+        self._end(None, "not sent")
 
     def written(self) -> None:
         """Calls are not counted."""
--- a/notchflow/net/exchange.py
+++ b/notchflow/net/exchange.py
@@ -63,6 +63,9 @@
     def flow(self, on: bool) -> None:
         """Whether more of the body that is arriving is wanted now."""
 
+    def gone(self, now: float) -> bool:
+        """Whether the client has closed its connection, so that nothing may begin for it any more."""
+
 
 class Link(Protocol):
     """The connection that a streamed answer comes on."""
--- a/notchflow/net/pool.py
+++ b/notchflow/net/pool.py
@@ -29,7 +29,7 @@
 
     def send(self, exchange: Exchange, now: float) -> None:
         if self.retired:  # whoever decided on it did so by an older list
-            self.host.soon(exchange.starved, None)
+            self.host.soon(exchange.unsent, None)
             return
         while self.idle:
             connection = self.idle[-1]
@@ -40,7 +40,7 @@
                 connection.start(exchange, now, now - connection.idle_since)
                 return
         if not self.host.descriptor():
-            self.host.soon(exchange.starved, None)
+            self.host.soon(exchange.unsent, None)
             return
         connection = Connection(self)
         task = self.host.loop.create_task(self._dial(connection))
@@ -112,13 +112,17 @@
         if dial is None:
             connection.close()
             connection.transport = None  # that it is lost is not told where the dial was cancelled
-        elif self.retired:
-            self.host.timers.cancel(dial[2])
+            return
+        exchange, timer = dial[1], dial[2]
+        self.host.timers.cancel(timer)
+        if self.retired:
             connection.close()
-            dial[1].failed(False)
+            exchange.failed(False)
+        elif not exchange.wanted(now := self.host.clock.now()):
+            self.release(connection)
+            exchange.unsent()
         else:
-            self.host.timers.cancel(dial[2])
-            connection.start(dial[1], self.host.clock.now())
+            connection.start(exchange, now)
 
     def give_up(self, exchange: Exchange) -> None:
         for connection, (task, waiting, timer) in self.dials.items():
--- /dev/null
+++ b/tests/crossings/test_client_gone.py
@@ -0,0 +1,180 @@
+"""A client's end crosses a dial, a further attempt, a second copy, requests sent ahead: nothing begins for
+who has gone, and what went out before may still be answered. A full close and a half-close look the same."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from notchflow.interface import Limits, Outcome
+from notchflow.net import client as downstream
+from notchflow.net.arrival import WAITING_MAX
+from tests.crossings.forced import Dials, all_over, ends_sending
+from tests.rig import Client, Rig, Script, Seen, run, serve_value, until
+
+LIMITS = Limits(max_attempts=3, second_copies=True, cancel=True, connect_timeout_ms=5_000.0)
+ENDS: tuple[Callable[[Client], None], ...] = (ends_sending, Client.reset)
+
+
+@pytest.fixture(autouse=True)
+def at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What is allowed for a moment after the end is over at once, so that no test waits for it."""
+    monkeypatch.setattr(downstream, "LEFT_MS", 0.0)
+
+
+def rig_of(*scripts: Script, **limits: Any) -> Rig:
+    rig = Rig(*scripts)
+    rig.settings = replace(rig.settings, limits=replace(LIMITS, **limits))
+    return rig
+
+
+async def seen_to_go(rig: Rig, client: Client) -> None:
+    """The proxy has read the client's end, and its clock has moved on."""
+    port = client.writer.get_extra_info("sockname")[1]
+    await until(lambda: all(c.half_closed for c in rig.host.front.clients if peer_port(c) == port))
+    then = rig.host.clock.now()
+    await until(lambda: rig.host.clock.now() > then)
+
+
+def peer_port(client: downstream.Client) -> int:
+    assert client.transport is not None
+    return int(client.transport.get_extra_info("peername")[1])
+
+
+class Gate:
+    """A node that holds its answer until it may go on."""
+
+    def __init__(self, then: Script) -> None:
+        self.open = asyncio.Event()
+        self.then = then
+
+    async def __call__(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
+        await self.open.wait()
+        await self.then(seen, writer)
+
+
+async def resets(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    writer.transport.abort()
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+@pytest.mark.parametrize("end", ENDS)
+def test_a_dial_that_is_done_after_the_client_has_gone_sends_nothing(
+        end: Callable[[Client], None], cancel: bool) -> None:
+    async def test() -> None:
+        async with rig_of(serve_value, serve_value, cancel=cancel) as rig:
+            dials = Dials(rig)
+            client = await rig.connect()
+            client.send()
+            await until(lambda: dials.waiting)
+            end(client)
+            await seen_to_go(rig, client)
+            dials.up.set()
+            await all_over(rig)
+            assert rig.sent == 0
+    run(test())
+
+
+def test_who_sends_no_more_is_told_that_nothing_ran() -> None:
+    async def test() -> None:
+        async with rig_of(serve_value) as rig:
+            dials = Dials(rig)
+            client = await rig.connect()
+            client.send(X_Call_Class="once", method="PUT", body=b"paid")
+            await until(lambda: dials.waiting)
+            ends_sending(client)
+            await seen_to_go(rig, client)
+            dials.up.set()
+            seen = await client.receive()
+            assert seen is not None and seen.status == 503
+            assert await client.reader.read() == b""
+            await all_over(rig)
+            assert rig.sent == 0
+    run(test())
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+@pytest.mark.parametrize("end", ENDS)
+def test_a_failed_attempt_is_not_followed_by_one_for_a_client_that_has_gone(
+        end: Callable[[Client], None], cancel: bool) -> None:
+    async def test() -> None:
+        gate = Gate(resets)
+        async with rig_of(gate, gate, gate, cancel=cancel) as rig:
+            told = rig.told(Outcome)
+            client = await rig.connect()
+            client.send()
+            await until(lambda: rig.sent)
+            end(client)
+            await seen_to_go(rig, client)
+            gate.open.set()
+            await until(lambda: told)
+            await all_over(rig)
+            assert rig.sent == 1
+    run(test())
+
+
+def test_what_went_out_before_the_client_s_end_still_brings_its_answer() -> None:
+    async def test() -> None:
+        gate = Gate(serve_value)
+        async with rig_of(gate) as rig:
+            client = await rig.connect()
+            client.send()
+            await until(lambda: rig.sent)
+            ends_sending(client)
+            await seen_to_go(rig, client)
+            gate.open.set()
+            seen = await client.receive()
+            assert seen is not None and seen.status == 200
+            await all_over(rig)
+    run(test())
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_no_second_copy_goes_out_for_a_client_that_has_gone(end: Callable[[Client], None]) -> None:
+    async def test() -> None:
+        gate = asyncio.Event()
+
+        async def held(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            if "held" in seen.line:
+                await gate.wait()
+            await serve_value(seen, writer)
+
+        async with rig_of(held, held, cancel=False) as rig:
+            rig.host.balancer.fleet.class_latency["read"] = 50.0  # a second copy is due after 150 ms
+            client, other = await rig.connect(), await rig.connect()
+            client.send(path="/api/00aa?held")
+            await until(lambda: rig.sent)
+            number = next(iter(rig.host.open))
+            end(client)
+            await seen_to_go(rig, client)
+            copies = rig.host.balancer.copies
+            while any(asked == number for _, asked in copies.queue):  # what came later is served: no queue
+                await other.ask(path="/api/00aa")
+            assert sum("held" in s.line for node in rig.nodes for s in node.seen) == 1
+            gate.set()
+            await all_over(rig)
+            assert sum("held" in s.line for node in rig.nodes for s in node.seen) == 1
+    run(test())
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_of_many_requests_sent_ahead_none_begins_once_the_client_has_gone(
+        end: Callable[[Client], None]) -> None:
+    """So many that nothing more is read: the client's end lies unread behind them."""
+    async def test() -> None:
+        gate = Gate(serve_value)
+        async with rig_of(gate) as rig:
+            client = await rig.connect()
+            for _ in range(3 * WAITING_MAX):
+                client.send()
+            await until(lambda: any(c.held_off for c in rig.host.front.clients) and rig.sent)
+            end(client)
+            await until(lambda: all(c.gone(rig.host.clock.now()) for c in rig.host.front.clients))
+            gate.open.set()
+            await all_over(rig)
+            assert rig.sent == 1
+    run(test())
