A lingering close for every end of a client's connection; what was read is answered

Front.close after SIGTERM, and close_still on standby, closed idle connections without looking whether bytes had come (close_idle looks): a request in the socket was answered by a reset. Client._answered closed over unread bytes, which resets the connection and may take an answer that is on its way along. Client._keeps said Connection: close while requests sent ahead had been read: they were dropped unanswered. What was dropped so kept its bytes counted as held.

Client.close is the one place: it shuts the sending side, reads and drops until the client's end, two seconds at most whatever comes (RFC 9112 section 9.6); where descriptors are short such connections are ended first. A connection with something unread is not let go of. Where requests were sent ahead the last one's answer is the last. TCP_NODELAY was found set on all four kinds of sockets (accepted, passed on, dialled, taken on) and is held by a test.

--- a/notchflow/net/arrival.py
+++ b/notchflow/net/arrival.py
@@ -42,6 +42,7 @@
     door: Door | None
     clients: dict[Any, None]
     idle: dict[Any, None]
+    lingering: dict[Any, None]
 
     def lost(self, client: Any) -> None: ...
 
@@ -81,6 +82,10 @@
         """Takes up what waits, if nothing is in hand."""
         raise NotImplementedError
 
+    def close(self) -> None:
+        """Ends the connection once what was written has gone."""
+        raise NotImplementedError
+
     def fail(self, call: Call, status: int) -> None:
         """Failed, with no promise."""
         raise NotImplementedError
@@ -298,9 +303,8 @@
             self._pass_pieces(call)
             call.whole = True
             self.flow(True)
-            if call.dropped and not call.keep and self.transport is not None:
-                self.closing = True
-                self.transport.close()
+            if call.dropped and not call.keep:
+                self.close()
             if call.open is not None:
                 self.host.body_whole(call.open)
             return
@@ -329,7 +333,6 @@
         call.release()
         call.fault, call.keep = status, False
         if call.dropped:
-            if self.transport is not None:
-                self.transport.close()
+            self.close()
             return
         self.waiting.append(call)
--- a/notchflow/net/client.py
+++ b/notchflow/net/client.py
@@ -20,7 +20,7 @@
 BUDGET_MAX_MS = 60_000.0
 IDLE_MS = 75_000.0
 STALLED_MS = 10_000.0
-LINGER_MS = 2_000.0
+LINGER_MS = 2_000.0  # of a lingering close, whatever comes meanwhile
 # A client that sends no more may have gone for good: both look the same. For so long what it asked for may
 # still begin, as a half-closed client may send its end along with its request; after 100 ms it is a fault.
 LEFT_MS = 50.0
@@ -33,7 +33,8 @@
 class Client(Arrival):
     """A client's connection."""
 
-    __slots__ = ("stepping", "paused", "chunked", "charged", "known", "left_at")
+    __slots__ = ("stepping", "paused", "chunked", "charged", "known", "left_at",
+                 "closed_at")
 
     def __init__(self, front: Entrance, known: bool = False) -> None:
         super().__init__(front)
@@ -43,6 +44,7 @@
         self.chunked = False
         self.charged = 0
         self.left_at = math.inf  # when it was read that the client sends no more
+        self.closed_at = math.inf  # when a lingering close began
 
     def _call(self) -> Call:
         return Call(self, self.host)
@@ -58,6 +60,8 @@
 
     def eof_received(self) -> bool:
         self.half_closed, self.left_at = True, self.host.clock.now()
+        if self.closed_at < math.inf:
+            return False  # both sides are done
         if self.current is self.arriving and not self.waiting:
             return False  # nothing is in hand, or its body ends in the midst
         self.closing = True
@@ -103,6 +107,30 @@
         self.host.held += size - self.charged
         self.charged = size
 
+    def close(self) -> None:
+        """A lingering close (RFC 9112 section 9.6). A plain close over bytes that were not read resets the
+        connection, and an answer that is still on its way is lost with it. So only the sending side is shut;
+        what comes is read and dropped until the client's end comes too, for a while at most."""
+        self.closing = True
+        self.front.idle.pop(self, None)
+        transport = self.transport
+        if transport is None or transport.is_closing() or self.closed_at < math.inf:
+            return
+        if self.half_closed:
+            transport.close()  # all that it sent is read
+            return
+        self.closed_at = self.host.clock.now()
+        self.front.lingering[self] = None
+        transport.write_eof()
+        if not transport.is_reading():
+            transport.resume_reading()
+
+    def _drop_waiting(self) -> None:
+        """What was sent ahead of a close is not taken up."""
+        for call in self.waiting:
+            call.settle(0)
+        self.waiting.clear()
+
     # -- one request after the other
     def silent(self) -> bool:
         """Whether nothing has come that was not read yet: what is closed then is lost to its client."""
@@ -245,7 +273,8 @@
         self._answered(call, keep, status)
 
     def _keeps(self, call: Call) -> bool:
-        return call.keep and not self.host.duty.away and (not self.closing or bool(self.waiting))
+        # What was sent ahead has been read: a close would lose it.
+        return call.keep and (bool(self.waiting) or not (self.host.duty.away or self.closing))
 
     def _answered(self, call: Call, keep: bool, status: int = 200) -> None:
         call.settle(status)
@@ -257,12 +286,8 @@
             call.dropped, call.keep = True, keep
             self.flow(True)
         elif not keep:  # else it was told that it may go on, and may be about to
-            self.closing = True
-            self.waiting.clear()
-            if call.fault and not self.half_closed:
-                self.transport.write_eof()
-            else:
-                self.transport.close()
+            self._drop_waiting()
+            self.close()
         elif self.waiting:
             self._step()
         elif self.arriving is None:
@@ -313,6 +338,10 @@
             if now - self.stopped_at > STALLED_MS and call is not None and call.open is not None:
                 self.host.stuck(call.open)
             return
+        buffered = self.transport.get_write_buffer_size()
+        if now - self.closed_at > (STALLED_MS if buffered else LINGER_MS):
+            self.transport.abort()
+            return
         quiet = now - self.active_at
         busy = self.current is not None and self.current is not self.arriving and not self.paused
         if self.closing and not busy and not self.waiting and quiet > LINGER_MS:
@@ -324,6 +353,6 @@
                 self._fault(408)
                 self._step()
             else:
-                self.transport.close()
+                self.close()
         elif not busy and quiet > IDLE_MS:
-            self.transport.close()
+            self.close()
--- a/notchflow/net/front.py
+++ b/notchflow/net/front.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import socket
+from collections.abc import Iterable
 from itertools import islice
 from typing import Any
 
@@ -34,6 +35,7 @@
         self.listener: socket.socket | None = None
         self.clients: dict[Client, None] = {}
         self.idle: dict[Client, None] = {}
+        self.lingering: dict[Client, None] = {}  # closed on this side, the longest first
         self.accepting = False
         self.backlog_empty = False
         self.inherited: int | None = None
@@ -77,11 +79,19 @@
     def close_idle(self) -> bool:
         """Makes room by closing a connection that is surely not about to carry a request, if there is one."""
         now = self.host.clock.now()
+        for client in self.lingering:  # what was answered has long arrived
+            if client.transport is not None and now >= client.closed_at + STILL_MS:
+                client.transport.abort()
+                del self.lingering[client]
+                return True
+            break
         for client in islice(self.idle, LOOKED_AT):
             if now < client.active_at + STILL_MS:
                 break  # and so are all that became idle after it
             if client.transport is not None and client.silent():
-                self._let_go(client)
+                del self.idle[client]
+                client.closing = True
+                client.transport.close()  # at once, as room is short: nothing unread is there to reset it
                 return True
         return False
 
@@ -101,12 +111,6 @@
         self.looking = False
         self.resume()
 
-    def _let_go(self, client: Client) -> None:
-        del self.idle[client]
-        client.closing = True
-        if client.transport is not None:
-            client.transport.close()
-
     def _accept(self) -> None:
         listener = self.listener
         self.backlog_empty = False
@@ -149,8 +153,7 @@
             if self.backlog_empty:
                 self.shut()
         if self.listener is None and not self.adopting:
-            for client in list(self.idle):
-                self._let_go(client)
+            self._let_go(list(self.idle))
         return self.listener is None and not self.adopting and not self.clients
 
     def shut(self) -> None:
@@ -174,12 +177,17 @@
 
     def close_still(self, now: float) -> None:
         """Closes connections that carry nothing and are not to be held while clients are sent away."""
-        still = [c for c in self.idle if self.host.duty.overstays(now, c.active_at)]
-        for client in still:
-            self._let_go(client)
+        self._let_go([c for c in self.idle if self.host.duty.overstays(now, c.active_at)])
+
+    def _let_go(self, clients: Iterable[Client]) -> None:
+        """Closes those of whom nothing has come: a request that lies unread is answered first."""
+        for client in clients:
+            if client.transport is not None and client.silent():
+                client.close()
 
     def lost(self, client: Client) -> None:
         self.clients.pop(client, None)
+        self.lingering.pop(client, None)
         self.idle.pop(client, None)  # else the dead stay for good, and closing one of them makes no room
         self.host.freed()
 
--- /dev/null
+++ b/tests/crossings/test_close.py
@@ -0,0 +1,217 @@
+"""A close crosses bytes: a request on a resting connection, requests sent ahead, a flood, an answer that is
+still on its way. What was written arrives, what was read is answered, and a close ends within its bound."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import pytest
+
+from notchflow.net import client as downstream
+from notchflow.net import front as entrance
+from tests.crossings.forced import all_over
+from tests.crossings.test_client_gone import Gate
+from tests.rig import Rig, Seen, answer, run, serve_value, stopped, until
+
+ASK = b"GET /api/00aa HTTP/1.1\r\nX-Call-Id: 7\r\nX-Call-Class: read\r\nX-Budget: 5.0\r\n\r\n"
+LAST = ASK.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+
+
+class Raw:
+    """A client's socket whose bytes are in the proxy's system as soon as they are written: the loop of the
+    test, which is the proxy's, need not turn in between."""
+
+    def __init__(self, rig: Rig) -> None:
+        self.sock = socket.create_connection(("127.0.0.1", rig.port))
+        self.sock.setblocking(False)
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    async def read(self, until_end: bool = False, size: int = 1) -> bytes:
+        """What comes, up to the connection's end or so many bytes. A reset is raised."""
+        data = b""
+        loop = asyncio.get_running_loop()
+        while until_end or len(data) < size:
+            more = await loop.sock_recv(self.sock, 1 << 16)
+            if not more:
+                break
+            data += more
+        return data
+
+
+async def resting(rig: Rig) -> Raw:
+    """A connection that has had one answer."""
+    raw = Raw(rig)
+    raw.send(ASK)
+    await until(lambda: rig.host.front.idle and rig.sent and not rig.host.open)
+    assert (await raw.read()).startswith(b"HTTP/1.1 200")
+    return raw
+
+
+def test_a_request_that_lies_unread_as_the_process_is_told_to_end_is_answered() -> None:
+    async def test() -> None:
+        async with Rig() as rig:
+            ended = stopped(rig.host)
+            raw = await resting(rig)
+            rig.host.stop()
+            raw.send(ASK)  # it is there, and nothing has read it
+            rig.host._drain()
+            data = await raw.read(until_end=True)
+            assert data.startswith(b"HTTP/1.1 200") and b"Connection: close" in data
+            raw.sock.close()
+            await until(lambda: ended)
+            await all_over(rig)
+    run(test())
+
+
+def test_a_request_that_comes_after_the_close_is_not_sent_on_and_sees_an_end_not_a_reset() -> None:
+    async def test() -> None:
+        async with Rig() as rig:
+            ended = stopped(rig.host)
+            raw = await resting(rig)
+            rig.host.stop()
+            rig.host._drain()
+            raw.send(ASK)  # the close is under way
+            assert await raw.read(until_end=True) == b""
+            sent = rig.sent
+            raw.sock.close()
+            await until(lambda: ended)
+            await all_over(rig)
+            assert rig.sent == sent == 1
+    run(test())
+
+
+def test_all_that_was_read_before_the_process_is_told_to_end_is_answered() -> None:
+    async def test() -> None:
+        gate = Gate(serve_value)
+        async with Rig(gate) as rig:
+            ended = stopped(rig.host)
+            raw = Raw(rig)
+            raw.send(3 * ASK)
+            await until(lambda: rig.sent)
+            rig.host.stop()
+            gate.open.set()
+            data = await raw.read(until_end=True)
+            assert data.count(b"HTTP/1.1 200") == 3 and data.count(b"Connection: close") == 1
+            raw.sock.close()
+            await until(lambda: ended)
+            await all_over(rig)
+    run(test())
+
+
+def test_an_answer_on_its_way_is_not_lost_to_bytes_behind_its_request() -> None:
+    body = b"v" * 50_000
+
+    async def long(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        await gate.wait()
+        writer.write(answer(body))
+
+    gate = asyncio.Event()
+
+    async def test() -> None:
+        async with Rig(long) as rig:
+            raw = Raw(rig)
+            raw.send(LAST)
+            await until(lambda: rig.sent)
+            (kept,) = rig.host.front.clients
+            assert kept.transport is not None
+            kept.transport.pause_reading()  # what follows lies unread as the answer is written
+            raw.send(100 * ASK)
+            gate.set()
+            data = await raw.read(until_end=True)
+            assert data.endswith(body)
+            raw.sock.close()
+            await all_over(rig)
+            assert rig.sent == 1
+    run(test())
+
+
+def test_what_comes_behind_an_answer_that_was_told_to_be_the_last_leaves_nothing_held() -> None:
+    put = ASK.replace(b"GET", b"PUT").replace(b"\r\n\r\n", b"\r\nContent-Length: 9\r\n\r\ntoo late.")
+    half = b"v" * 50_000
+
+    async def in_two(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(2 * half)[: -len(half)])
+        await gate.wait()
+        writer.write(half)
+
+    gate = asyncio.Event()
+
+    async def test() -> None:
+        async with Rig(in_two) as rig:
+            rig.host.stop()
+            raw = Raw(rig)
+            raw.send(ASK)
+            assert b"Connection: close" in await raw.read()
+            raw.send(put)
+            await until(lambda: rig.host.held)
+            gate.set()
+            assert (await raw.read(until_end=True)).endswith(half)
+            raw.sock.close()
+            await all_over(rig)
+            assert rig.sent == 1
+    run(test())
+
+
+def test_who_goes_on_sending_after_a_close_is_ended_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(downstream, "LINGER_MS", 0.0)
+
+    async def test() -> None:
+        async with Rig() as rig:
+            raw = Raw(rig)
+            raw.send(LAST)
+            await until(lambda: any(c.closed_at < float("inf") for c in rig.host.front.clients))
+            (kept,) = rig.host.front.clients
+            raw.send(1_000 * ASK)
+            heard = kept.active_at
+            await until(lambda: kept.active_at > heard)
+            kept.close_if_over(rig.host.clock.now())
+            await until(lambda: not rig.host.front.clients)
+            await all_over(rig)
+            assert rig.sent == 1
+    run(test())
+
+
+def test_a_close_that_lingers_makes_room_before_anybody_else(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(entrance, "STILL_MS", 0.0)
+
+    async def test() -> None:
+        async with Rig() as rig:
+            raw, other = Raw(rig), await resting(rig)
+            raw.send(LAST)
+            await until(lambda: rig.host.front.lingering)
+            assert rig.host.front.close_idle()
+            front = rig.host.front
+            await until(lambda: not front.lingering and len(front.clients) == 1)
+            assert front.clients.keys() == front.idle.keys()
+            other.sock.close()
+            await all_over(rig)
+    run(test())
+
+
+def nodelay(transport: Any) -> int:
+    return int(transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+
+
+def test_small_writes_are_held_back_on_neither_side() -> None:
+    async def test() -> None:
+        async with Rig() as rig:
+            raw = await resting(rig)
+            (client,) = rig.host.front.clients
+            (pool,) = rig.host.pools.values()
+            assert nodelay(client.transport) and nodelay(pool.idle[0].transport)
+            # and on those that another process of this proxy had
+            (descriptor,) = rig.host.front.pass_on(1)
+            rig.host.welcome(socket.socket(fileno=descriptor))
+            node = next(iter(rig.host.pools))
+            given = socket.create_connection(pool.address)
+            rig.host.take_on(given, node, "{}:{}".format(*pool.address), 1.0)
+            await until(lambda: len(pool.idle) == 2 and rig.host.front.idle)
+            (client,) = rig.host.front.idle
+            assert nodelay(client.transport) and all(nodelay(c.transport) for c in pool.idle)
+            raw.sock.close()
+            await all_over(rig)
+    run(test())
