Watch: a change counts 6 s after a failed, refused or given-up call; calls that show discovery hears

Followed: placing with a move at 1,480 ms and a silence at 1,490: the call to the new address, out for 60 s, was silent from its beginning and could not be told from a watch with nothing to tell; it was renewed at 11 to 31 s, and the change of 1,500 counted from 7,500.

A call that does not continue a watch asks to be answered at once (wait=1), is taken for silent after 2.5 s and made again; the next, within 150 ms of its answer, is the watch. That a renewal stands is shown by its answer, no longer by 3 s without a refusal, which state goes. Pauses after a failure are drawn from 0.25 to 1 s and do not grow: two of them and two calls that queue fit into 6 s. The judge also asks whether discovery could be reached: not while it is down, nor by who is turned away.

The rig answers the first call as an agent does only where lists are pushed.

--- a/notchflow/emulator/fixed_waits.py
+++ b/notchflow/emulator/fixed_waits.py
@@ -15,7 +15,7 @@
 class FixedWaits(Watch):
     """One call at a time, and the next after its end."""
 
-    def _wait_ms(self) -> int:
+    def _wait_ms(self, now: float) -> int:
         return FIXED_WAIT_MS
 
     def _renewal(self, now: float, out: Out) -> float:
--- a/notchflow/emulator/sends.py
+++ b/notchflow/emulator/sends.py
@@ -123,7 +123,8 @@
     def __init__(self, world: Sends, number: int) -> None:
         self.world, self.number, self.alive = world, number, True
         now = self.started_at = self.last_call_at = world.sim.now
-        self.last_failed, self.lines = False, {}
+        self.last_failed, self.failed_at, self.lines = False, None, {}
+        self.answered_at = self.refused_at = -float("inf")
         self.ready_at = now if world.day.asked else float("inf")
         self.loop = Loop(world.sim, world)  # type: ignore[abstract]  # what the edges use is there
         world.owners[self.loop] = self
@@ -202,7 +203,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         line = self.proxy.lines.get(self.number)
         if line is not None:
-            self.proxy.close(line)
+            self.proxy.give_up(line)
 
 
 class Node(Served):
--- a/notchflow/emulator/watches.py
+++ b/notchflow/emulator/watches.py
@@ -22,6 +22,7 @@
 WORK_MAX_MS: Final = 1_000.0  # of one call: in a small fleet no call would be taken otherwise
 OLD_CLOSES_MS: Final = 1_500.0  # after a move
 SILENCE_MS: Final = 6_000.0  # after it fell silent, what a watch misses counts as told,
+FAILED_MS: Final = 6_000.0  # and any change after a call that failed, was refused or was given up
 WAIT_OVER_MS: Final = 2_000.0  # or so long after its wait is over, if that is later
 HANGUP_MS: Final = 4_000.0  # and what there is to tell, after SIGHUP
 SLACK_MS: Final = 50.0  # on sockets, beside the grace
@@ -93,6 +94,8 @@
         self.module = Balancer(world.settings, day.seed * 1_000 + number, world.sim.now)
         self.lines: dict[int, Line] = {}
         self.last_call_at, self.last_failed = world.sim.now, False
+        self.failed_at: float | None = None  # the first call to come to nothing since discovery took one
+        self.answered_at = self.refused_at = -float("inf")
         self.ready_at = world.sim.now if day.asked else float("inf")
         self.wake_for = float("inf")
         self.tell(Membership(ListKind.CACHED, (), revision))
@@ -130,6 +133,7 @@
     def answered(self, line: Line, listing: Listing) -> None:
         if line.open and self.alive:
             self.close(line)
+            self.failed_at, self.answered_at = None, self.world.sim.now
             self.world.judge.wrote(self, listing.revision)
             self.deliver(line, listing)
 
@@ -137,6 +141,9 @@
         if line.open and self.alive:
             self.close(line)
             self.last_failed = True
+            self.failed_at = self.world.sim.now if self.failed_at is None else self.failed_at
+            if problem == "status 503":
+                self.refused_at = self.world.sim.now
             self.refuse(line, problem)
 
     def deliver(self, line: Line, listing: Listing) -> None:
@@ -151,6 +158,14 @@
         line.open = False
         self.lines.pop(line.ask.number, None)
 
+    def give_up(self, line: Line) -> None:
+        """A call is waited for no longer. Where discovery has taken another, that one is the watch."""
+        self.close(line)
+        taken = any(li.watching or li.silent_at is not None for li in self.lines.values())
+        answered = self.answered_at >= line.begun_at  # a later one was: this one has been replaced
+        if not taken and not answered and self.failed_at is None:
+            self.failed_at = self.world.sim.now
+
     def do(self, actions: list[Action]) -> None:
         world = self.world
         for action in actions:
@@ -160,7 +175,7 @@
                     self.last_call_at, self.last_failed = world.sim.now, False
                     world.sim.after(TRIP_MS, world.called, line)
                 case Drop(number):
-                    self.close(self.lines[number])
+                    self.give_up(self.lines[number])
                 case Take(listing, kind):
                     self.be_ready()
                     world.judge.has(self, listing.revision)
@@ -305,6 +320,7 @@
             self.refuse(line)
             return
         line.watching = True
+        line.follower.failed_at = None
         if not self.down and (line.ask.revision is None or line.ask.revision < self.revision):
             self.answer(line)
         else:
@@ -378,8 +394,9 @@
         day, now = world.day, world.sim.now
         best = self.written.get((follower.number, revision), float("inf")) if written else float("inf")
         missed = self.missed.get((follower.number, revision))
+        reached = self._reached(follower)
         if missed is not None:
-            best = min(best, missed)
+            best = min(best, max(missed, reached))
         elif any(li.watching for li in follower.lines.values()):
             pass  # that one tells
         elif not day.asked:
@@ -391,9 +408,19 @@
             best = min(best, max(made + day.ask_within_ms, follower.last_call_at + held,
                                  world.back_at + day.ask_within_ms if world.back_at else 0.0,
                                  float("inf") if world.down else 0.0))
+        if follower.failed_at is not None and not any(li.watching for li in follower.lines.values()):
+            best = min(best, max(made + FAILED_MS, follower.failed_at + FAILED_MS, reached))
         moved = max((at for at in day.moves if at <= now), default=-1e9)
         return max(best, moved + HANGUP_MS, follower.ready_at)
 
+    def _reached(self, follower: Follower) -> float:
+        """When so much time has passed since discovery could be reached that all must be known. Where it is
+        asked, who is turned away could not reach it."""
+        world = self.world
+        if not world.day.asked:
+            return 0.0
+        return float("inf") if world.down else max(world.back_at, follower.refused_at) + FAILED_MS
+
     def _down_since(self) -> float:
         return max((start for start, _ in self.world.day.downs if start <= self.world.sim.now), default=1e18)
 
--- a/notchflow/net/watch.py
+++ b/notchflow/net/watch.py
@@ -21,19 +21,23 @@
 from notchflow.interface import ListKind, Rules, State
 from notchflow.net.listing import Listing
 
-# Where lists are asked for. What a silent watch misses counts as told 2 s after its wait, so the call asks
-# for the longest that discovery allows, and half of it is left for calls that fail. The moments of all
-# proxies lie over more than the 8 s that discovery may need for a call from each.
+# Where lists are asked for. A call that continues a watch asks for the longest wait that discovery allows, as
+# what a silent one misses counts as told 2 s after its wait. Any other asks to be answered at once: that
+# shows for certain that discovery hears it. The moments of all proxies lie over more than the 8 s that
+# discovery may need for a call from each.
 WAIT_MS: Final = 60_000
+SOON_MS: Final = 1
+CONTINUES_MS: Final = 150.0  # after an answer; the watch is over 200 ms after it
 RENEW_MS: Final = (10_000.0, 30_000.0)  # when a watch is opened anew, from its beginning
-RETRY_MS: Final = (1_000.0, 5_000.0)  # and when again, if that failed while the old one is still there,
-RETRY_SHARE: Final = 0.4  # or so much of the time to ask within, if that is less
-STANDS_MS: Final = 3_000.0  # discovery turns away by 2 s what it does not take: who hears nothing is watching
-WHOLE_WAIT_MS: Final = 2_000  # the whole list is given without a wait, but a call may have to queue
-ANSWER_MARGIN_MS: Final = 1_000.0  # after the wait, until a call counts as failed
+# After a call that came to nothing a change counts as told 6 s after it was made: room for two calls that
+# each queue for 2 s, or for a silent one and one more, with their pauses.
+RETRY_MS: Final = (250.0, 1_000.0)
+RETRY_SHARE: Final = 0.4  # of the time to ask within, if that is less
+QUEUE_MS: Final = 2_000.0  # discovery turns away by then what it does not take
+QUEUE_MARGIN_MS: Final = 500.0  # until a call that was to be answered at once is taken for silent
+ANSWER_MARGIN_MS: Final = 1_000.0  # after the longest wait, until a call is taken for silent
 # Where an agent pushes them. What a silent watch misses counts as told 6 s after it fell silent; what the
 # agent has counts at once where no watch is open.
-FIRST_WAIT_MS: Final = 1  # of a new process, to which it counts from the first moment
 PUSH_WAIT_MS: Final = 2_000
 PUSH_MARGIN_MS: Final = 500.0  # after the wait, until a call is taken for silent
 AGAIN_MS: Final = 20.0  # after a failure; doubled with each, as far as a pause may last
@@ -101,6 +105,11 @@
     wait_ms: int
     whole: bool  # it asks for the whole list: changes are no answer
 
+    @property
+    def soon(self) -> bool:
+        """Whether it asks to be answered at once."""
+        return self.wait_ms == SOON_MS
+
 
 class Watch:
     """One proxy's watch. Each method is told the time, in milliseconds, and answers what to do; `wake` is to
@@ -192,6 +201,8 @@
             actions += [Drop(out.number), Failed("no answer", True)]
             if not self.out:  # what discovery does not take it turns away: here a connection broke unseen
                 actions.extend(self._call(now))
+            elif not self.out[0].soon:
+                self.renew_at = now
         if self.out and self.renew_at <= now:
             actions.extend(self._renew(now))
         return actions
@@ -203,37 +214,35 @@
             return []
         self.number += 1
         whole = self.whole or self.revision is None
-        out = Out(self.number, now, self._wait_ms(), whole)
+        out = Out(self.number, now, self._wait_ms(now), whole)
         self.out.append(out)
-        self.renew_at = now + STANDS_MS if self.asked and len(self.out) > 1 else self._renewal(now, out)
+        self.renew_at = self._renewal(now, out)
         return [Ask(out.number, None if whole else self.revision, out.wait_ms)]
 
-    def _wait_ms(self) -> int:
-        if self.whole:
-            return WHOLE_WAIT_MS
-        if self.asked:
-            return WAIT_MS
-        return PUSH_WAIT_MS if self.heard_at is not None else FIRST_WAIT_MS
+    def _wait_ms(self, now: float) -> int:
+        if self.heard_at is None:
+            return SOON_MS  # of a new process, to which what an agent has counts from the first moment
+        if not self.asked:
+            return PUSH_WAIT_MS
+        return WAIT_MS if not self.whole and now <= self.heard_at + CONTINUES_MS else SOON_MS
 
     def _renewal(self, now: float, out: Out) -> float:
         """When the call is to be followed by one more, if it has told nothing by then."""
         if self.asked:
-            return max(now, out.begun_at + self.rng.uniform(*RENEW_MS))
+            return inf if out.soon else max(now, out.begun_at + self.rng.uniform(*RENEW_MS))
         return max(now, out.begun_at + out.wait_ms + PUSH_MARGIN_MS)
 
     def _renew(self, now: float) -> list[Action]:
         if len(self.out) == 1:
             return self._call(now)
-        if self.asked:  # the new one stands
-            old = self.out.pop(0)
-            self.renew_at = self._renewal(now, self.out[0])
-            return [Drop(old.number)]
         silent = self.out.pop()  # as silent as the first, which an agent that is back may still answer
         return [Drop(silent.number), *self._call(now)]
 
     def _overdue_at(self, out: Out) -> float:
         """When a call counts as failed. An agent that hears nothing is silent, and may answer later."""
-        return out.begun_at + out.wait_ms + ANSWER_MARGIN_MS if self.asked else inf
+        if not self.asked:
+            return inf
+        return out.begun_at + out.wait_ms + (QUEUE_MS + QUEUE_MARGIN_MS if out.soon else ANSWER_MARGIN_MS)
 
     def _ended(self, number: int) -> Out:
         for out in self.out:
@@ -245,8 +254,11 @@
     def _failed(self, now: float, problem: str) -> list[Action]:
         again, self.again_ms = self.again_ms, min(2 * self.again_ms, self.pause_ms)
         if self.out:
-            most = min(RETRY_MS[1], RETRY_SHARE * self.rules.ask_within_ms)
-            self.renew_at = now + (self.rng.uniform(min(RETRY_MS[0], most), most) if self.asked else again)
+            if not self.asked:
+                self.renew_at = now + again
+            elif not self.out[0].soon:
+                most = min(RETRY_MS[1], RETRY_SHARE * self.rules.ask_within_ms)
+                self.renew_at = now + self.rng.uniform(min(RETRY_MS[0], most), most)
             return [Failed(problem, True)]
         if self.asked:  # the module says when
             self.wanted = False
--- a/notchflow/policy/balancer.py
+++ b/notchflow/policy/balancer.py
@@ -26,8 +26,8 @@
 COMFORT: Final = 0.7  # of a class's aim: an answer in so much of it shows no pressure
 WATCH_EARLY: Final = 0.3
 WATCH_SPACING_MS: Final = 25.0  # between the first calls of all instances, on average
-BACKOFF_MS, BACKOFF_MAX_MS = 500.0, 6_000.0
-BACKOFF_SHARE: Final = 0.4  # of the time to ask within, at most: half as much again by the draw, and the call
+BACKOFF_MS: Final = (250.0, 1_000.0)  # twice this and two calls in discovery's queue: 6 s, when changes count
+BACKOFF_SHARE: Final = 0.4  # of the time to ask within, at most
 
 
 class Balancer:
@@ -46,7 +46,6 @@
         self.rate = 0.0  # own requests, a millisecond
         self.sampled_at = now
         self.started = False
-        self.backoff = BACKOFF_MS
         self.actions: list[Action] = []
         self.copies = Copies()
 
@@ -123,13 +122,10 @@
                 early = min(WATCH_EARLY * self.settings.rules.ask_within_ms,
                             WATCH_SPACING_MS * self.settings.balancers)
                 self.actions.append(SetTimer(now + self.rng.random() * early, "watch"))
-        elif event.kind is ListKind.FAILED:
-            if self.settings.list_on_request:
-                wait = min(self.backoff, BACKOFF_SHARE * self.settings.rules.ask_within_ms)
-                self.actions.append(SetTimer(now + wait * (0.5 + self.rng.random()), "watch"))
-                self.backoff = min(self.backoff * 2, BACKOFF_MAX_MS)
-        else:
-            self.backoff = BACKOFF_MS
+        elif event.kind is ListKind.FAILED and self.settings.list_on_request:
+            most = BACKOFF_SHARE * self.settings.rules.ask_within_ms
+            wait = self.rng.uniform(*(min(pause, most) for pause in BACKOFF_MS))
+            self.actions.append(SetTimer(now + wait, "watch"))
 
     def _timer(self, now: float, token: str) -> None:
         if token == "watch":
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -288,6 +288,12 @@
         async with Rig(list_on_request=asked) as rig:
             told = rig.told(Membership)
             rig.host.discovery.watch(True)
+            if asked:  # it shows first that it hears the proxy
+                seen, writer = await rig.calls.get()
+                assert "wait=1 " in seen.line
+                writer.write(rig.listing(41, False, []))
+                await until(lambda: told)
+                told.clear()
             seen, silent = await rig.calls.get()
             assert f"wait={60_000 if asked else 20} " in seen.line
             seen, writer = await rig.calls.get()
