A repeat begins within its window or not at all, however late its connection comes up

Ruled out: attempts on kept connections (decided and begun in one turn, 5 ms of margin).

Mend: Send carries the moment from which on the attempt must not begin (Pending.before, also for what another process or life may have run), held by Attempt.wanted at the one place where the first byte goes out. A request that is not begun is told as such and ends as the module decides.

--- a/notchflow/interface.py
+++ b/notchflow/interface.py
@@ -309,11 +309,13 @@
 
 
 class Send(NamedTuple):
-    """Start an attempt; without a time-out it runs until the client gives up."""
+    """Start an attempt; without a time-out it runs until the client gives up. From `before` on it must not
+    begin, however long its connection takes."""
 
     id: int
     node: int
     timeout_ms: float | None = None
+    before: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/notchflow/net/attempt.py
+++ b/notchflow/net/attempt.py
@@ -30,14 +30,14 @@
 class Attempt:
     """One attempt at a node. It ends once, with the outcome that the facts prove."""
 
-    __slots__ = ("host", "open", "number", "node", "pool", "begun_at", "expires_at", "connection", "over",
-                 "started", "hold_max", "timer", "unfinished")
+    __slots__ = ("host", "open", "number", "node", "pool", "begun_at", "expires_at", "before", "connection",
+                 "over", "started", "hold_max", "timer", "unfinished")
 
     def __init__(self, host: Courier, item: Open, number: int, node: int, pool: Pool, now: float,
-                 expires: float) -> None:
+                 expires: float, before: float) -> None:
         self.host, self.open = host, item
         self.number, self.node, self.pool = number, node, pool
-        self.begun_at, self.expires_at = now, expires
+        self.begun_at, self.expires_at, self.before = now, expires, before
         self.connection: Connection | None = None
         self.over = self.started = False
         self.hold_max = HOLD_MAX
@@ -111,8 +111,9 @@
             self.begun_at = self.host.clock.now()
 
     def wanted(self, now: float) -> bool:
-        """Whether its request is in hand and its client there."""
-        return not (self.over or self.open.done or self.open.call.client.gone(now))
+        """Whether its request is in hand, its client there, and an earlier attempt still remembered."""
+        item = self.open
+        return not (self.over or item.done or now >= self.before or item.call.client.gone(now))
 
     def unsent(self, _: object = None) -> None:
         """There was no descriptor to dial with, or it was too late once there was a connection."""
--- a/notchflow/net/desk.py
+++ b/notchflow/net/desk.py
@@ -147,7 +147,7 @@
                 self.now = now = self.clock.now()
                 for action in self.balancer.handle(now, event):
                     if isinstance(action, Send):
-                        self._send(action.id, action.node, action.timeout_ms)
+                        self._send(action)
                     else:
                         self._perform(action)
             except Exception:  # costs this one request at most, never the process
@@ -192,7 +192,8 @@
     def _timer(self, token: str) -> None:
         self.tell(Timer(token))
 
-    def _send(self, number: int, node: int, timeout: float | None) -> None:
+    def _send(self, action: Send) -> None:
+        number, node, timeout, before = action
         item = self.open.get(number)
         if item is None:
             log.error("the module sent a request that is over")
@@ -206,7 +207,7 @@
             self.inbox.append(Outcome(number, attempt_number, node, Status.MOOT, closed=item.done))
             return
         expires = item.deadline if timeout is None else min(item.deadline, now + timeout)
-        attempt = Attempt(self, item, attempt_number, node, pool, now, expires)
+        attempt = Attempt(self, item, attempt_number, node, pool, now, expires, before)
         item.out[attempt_number] = attempt
         if expires < item.deadline:
             attempt.timer = self.at(expires, self._expire, attempt)
--- a/notchflow/policy/balancer.py
+++ b/notchflow/policy/balancer.py
@@ -209,11 +209,12 @@
             if (doubtful and attempts + 1 < pending.most and pending.cls.effect is SAFE
                     and not pending.arriving):
                 timeout = left * TRIAL_SHARE
+        before = pending.before()
         pending.out[attempts] = node, now
         pending.attempts = attempts + 1
         pending.tried = *pending.tried, node
         self.fleet.sent(node, now, pending.cls.name, (pending.request.id, attempts))
-        self.actions.append(Send(pending.request.id, node.id, timeout))
+        self.actions.append(Send(pending.request.id, node.id, timeout, before))
 
     def _outcome(self, now: float, outcome: Outcome) -> None:
         pending = self.pending.get(outcome.id)
--- a/notchflow/policy/pending.py
+++ b/notchflow/policy/pending.py
@@ -38,6 +38,13 @@
         if not status.never_ran:
             self.may_have_run = *self.may_have_run, sent
 
+    def before(self) -> float:
+        """From when on no attempt may begin: servers forget what may have run under its key."""
+        if self.cls.effect is not Effect.KEYED:
+            return self.until
+        earliest = min((at for _, at in (*self.may_have_run, *self.out.values())), default=math.inf)
+        return min(self.until, earliest + self.cls.window_ms - WINDOW_MARGIN_MS)
+
     def allows(self, node: Node, now: float) -> bool:
         if node.member.state is not READY or now >= self.until:
             return False
@@ -49,11 +56,11 @@
         earlier = [*self.may_have_run, *self.out.values()]
         if self.cls.effect is UNSAFE or not earlier:
             return not earlier
+        if now >= self.before():
+            return False
         group, here = self.cls.group, node.member
-        for other, sent_at in earlier:
+        for other, _ in earlier:
             there = other.member
-            if now >= sent_at + self.cls.window_ms - WINDOW_MARGIN_MS:
-                return False
             if group is not Group.ALL and there.zone != here.zone:
                 return False
             if group is Group.CELL and there.cell != here.cell:
