--- a/tests/crossings/test_close.py
+++ b/tests/crossings/test_close.py
@@ -157,8 +157,6 @@
 
 
 def test_who_goes_on_sending_after_a_close_is_ended_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(downstream, "LINGER_MS", 0.0)
-
     async def test() -> None:
         async with Rig() as rig:
             raw = Raw(rig)
@@ -168,6 +166,7 @@
             kept.active_at = 0.0
             raw.send(1_000 * ASK)
             await until(lambda: kept.active_at)
+            monkeypatch.setattr(downstream, "LINGER_MS", -1.0)
             kept.close_if_over(rig.host.clock.now())
             await until(lambda: not rig.host.front.clients)
             await all_over(rig)
