--- a/notchflow/emulator/box.py
+++ b/notchflow/emulator/box.py
@@ -3,12 +3,13 @@
 Assumptions. A request takes its work over the speed of one core; work is exponential. A read of a key that
 is not held fetches it from the origin, during which the request holds no core. A cold box does `cold_share`
 of the work that a warm one does, rising evenly until `cold_ms` (the rules' figures). It falls over, for
-good, once the work sent to it within `fall_ms` is more than the stated multiple of what it can do in that
-time: the rule that no proxy may break.
+good, once the work sent to it within `fall_ms` is more than N + 2 x root of N + 2 requests of mean work, N
+being the stated multiple of what it can do in that time: the rule that no proxy may break.
 """
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from enum import Enum
@@ -85,7 +86,7 @@
         self.connections = 0
         self.pushes: deque[tuple[float, float]] = deque()  # time, work sent
         self.pushed = 0.0
-        self.worst = 0.0  # the most that it was sent, as a multiple of what it could do, while cold
+        self.worst = 0.0  # the most that it was sent while cold, as a part of what makes it fall
         self.fell_at: float | None = None
         self.arrivals = self.rejected = self.hits = self.misses = 0
 
@@ -197,8 +198,9 @@
         self.pushed += work
         while pushes[0][0] <= now - span:
             self.pushed -= pushes.popleft()[1]
-        multiple = self.pushed / (self.capacity(now) * span)
-        self.worst = max(self.worst, multiple)
-        if multiple > self.rules.overload_factor:
+        mean = self.fleet.hit_ms
+        due = self.rules.overload_factor * self.capacity(now) * span / mean
+        self.worst = max(self.worst, self.pushed / mean / (due + 2 * math.sqrt(due) + 2))
+        if self.worst > 1:
             self.fell_at = now
             self.stop(Up.GONE)
