--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,5 @@
+"""What holds for all tests."""
+
+from tests.known_red import pytest_collection_modifyitems, pytest_terminal_summary
+
+__all__ = ["pytest_collection_modifyitems", "pytest_terminal_summary"]
