--- a/notchflow/policy/placement.py
+++ b/notchflow/policy/placement.py
@@ -57,30 +57,26 @@
                 continue
             # That it is warm and idle, as is usual, is asked before the calls: they cost as much again.
             if healthy(node, now, cls) and (now >= node.cold_until
-                                            or self._may_warm(node, now, pending, rate)):
+                                            or self._may_warm(node, now, pending.request.key, rate)):
                 if ((node.in_flight < BOUND_MIN or not fleet.bounded(node)) and not self._held_back(node)
                         and not (fleet.many and fleet.crowded(node, now, self.rng.random()))):
                     return node
                 fallback = fallback or node
         if fallback is not None:
             return fallback
-        rest = [n for n in fleet.ready if pending.allows(n, now)  # the remembered places are out
-                and (now >= n.cold_until or self._may_warm(n, now, pending, rate))]
+        # The remembered places are out; no cold server is pushed over for want of another.
+        rest = [n for n in fleet.ready if pending.allows(n, now) and not fleet.overspent(n, now, rate)]
         well = [n for n in rest if healthy(n, now, cls)]
         return min(well or rest, key=lambda n: (n.in_flight, n.id)) if rest else None
 
-    def _may_warm(self, node: Node, now: float, pending: Pending, rate: float) -> bool:
-        """Whether a cold server may have a request. Budgets of many balancers do not hold their sum, as each
-        has one request or none: it gets the first attempts of its own keys alone, which are spread by weight,
-        and of one that brings more than the server's due a part. What all send past a slow or failing server
-        would go to the one that has just come."""
+    def _may_warm(self, node: Node, now: float, key: str | None, rate: float) -> bool:
+        """Whether a cold server may have a request. Budgets of many balancers do not keep one key off it, as
+        each has one of its requests or none: one that brings more than the server's due goes there in
+        part."""
         if self.fleet.overspent(node, now, rate):
             return False
-        key = pending.request.key
         if key is None or not self.fleet.many:
             return True
-        if pending.attempts or self.fleet.order(key)[0] is not node:
-            return False
         return self.rng.random() * self.hot.topk.share(key) <= self.fleet.share(node)
 
     def _held_back(self, node: Node) -> bool:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -214,6 +214,17 @@
     assert 1 <= nodes.count(5) <= 3
 
 
+def test_a_cold_server_is_not_pushed_over_for_want_of_another() -> None:
+    """Guards against a last resort that takes whatever is ready: all others drain, and a burst comes."""
+    balancer = make_balancer(4)
+    cold = Member(5, ready_at_ms=1.0)
+    others = tuple(Member(n, State.DRAINING) for n in balancer.fleet.nodes)
+    balancer.handle(1, Membership(ListKind.DELTA, (cold, *others)))
+    actions = [a for i in range(50) for a in balancer.handle(2, ask(i, 2))]
+    assert 1 <= len(sends(actions)) <= 3
+    assert sum(isinstance(a, Refuse) for a in actions) == 50 - len(sends(actions))
+
+
 def test_a_silent_server_is_ejected_tried_again_and_restored() -> None:
     balancer = make_balancer(12)
     k = key(3)
