--- a/tests/crossings/test_answers.py
+++ b/tests/crossings/test_answers.py
@@ -55,7 +55,8 @@
             node.writers[0].write(answer())
             rig.host._deadline(item.id)  # before the proxy reads it
             seen = await client.receive()
-            assert seen is not None and seen.status == (504 if cls == "once" else 503)  # a repeat of a read is harmless
+            assert seen is not None
+            assert seen.status == (504 if cls == "once" else 503)  # a repeat of a read is harmless
             client.send(path="/health/ready")
             seen = await client.receive()
             assert seen is not None and seen.status == 200 and not seen.body, "no second answer came between"
@@ -104,3 +105,32 @@
                 assert cls == "once" and ran == 0 and told[-1].status is Status.RESET
             await all_over(rig)
     run(test())
+
+
+def test_a_hedged_request_whose_dial_is_done_after_the_answer_is_not_sent() -> None:
+    """Also where nothing may be cancelled: what is over can start nothing."""
+    gate = asyncio.Event()
+
+    async def held(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        if "held" in seen.line:
+            await gate.wait()
+        await serve_value(seen, writer)
+
+    async def test() -> None:
+        async with rig_of(held, held, cancel=False) as rig:
+            rig.host.balancer.fleet.class_latency["read"] = 50.0  # a second copy is due after 150 ms
+            client, other = await rig.connect(), await rig.connect()
+            dials = Dials(rig, free=2)
+            client.send(path="/api/00aa?held")
+            await until(lambda: rig.sent)
+            while dials.waiting < 3:  # what came later is served: no queue
+                await other.ask(path="/api/00aa")
+            gate.set()
+            seen = await client.receive()
+            assert seen is not None and seen.status == 200
+            dials.up.set()
+            await until(lambda: not any(pool.dials for pool in rig.host.pools.values()))
+            await until(lambda: not rig.host.open)
+            await all_over(rig)
+            assert sum("held" in s.line for node in rig.nodes for s in node.seen) == 1
+    run(test())
