A client's bad input is told in the log with its status, reason and peer

Need: bad input costs its own connection alone and leaves a line with peer and reason; five of eight kinds left none, and none named the peer. Tested on each row.

--- a/notchflow/net/arrival.py
+++ b/notchflow/net/arrival.py
@@ -120,17 +120,15 @@
         except HttpParserUpgrade:
             self.closing = True  # the request stands, in plain HTTP; what follows it cannot be read
         except HttpParserError as error:
-            log.info("malformed request: %s", error)
-            self._fault(400)
+            self._fault(400, f"malformed request: {error}")
         if self.in_head:
             self.head_size += len(data)
             if self.head_size >= HEAD_MAX:
-                self._fault(431)
+                self._fault(431, f"a head of over {HEAD_MAX} bytes")
         elif call is not None and call is self.arriving:  # in the midst of a body
             self.framing += len(data) - (call.size - before)
             if self.framing > FRAMING_MAX + FRAMING_CHUNK * self.chunks:
-                log.info("more framing than body")
-                self._fault(400)
+                self._fault(400, "more framing than body")
 
     # -- the parser's callbacks
     def on_message_begin(self) -> None:
@@ -168,12 +166,12 @@
         if not FRAMING.isdisjoint(call.fields) and not self._framed(call):
             return
         if len(call.passed) > FIELDS_MAX:
-            self._fault(431)
+            self._fault(431, f"over {FIELDS_MAX} fields")
             return
         if self.front.door is not None and not call.fault:
             self.front.door.head(call)
         if int(call.fields.get(b"content-length", 0)) > BODY_MAX:
-            self._fault(413)
+            self._fault(413, f"a body of over {BODY_MAX} bytes")
         elif b"expect" in call.fields:
             self._expected(call)
 
@@ -186,14 +184,14 @@
             call.passed = [line for line in call.passed if not line.lower().startswith(drop)]
         coding = call.fields.get(b"transfer-encoding")
         if coding is not None and coding.strip().lower() != b"chunked":
-            self._fault(501)  # the body would go on in a coding that nobody told the box of
+            self._fault(501, f"the coding {coding!r:.60}")  # the box would be told of none
             return False
         return True
 
     def _expected(self, call: Call) -> None:
         """The client waits with the body."""
         if call.reply is not None:
-            self._fault(call.reply.status)  # it may as well keep it
+            self._fault(call.reply.status, "turned away before its body")  # it may as well keep it
         elif call.fields[b"expect"].lower() == b"100-continue":
             if self.current is None and not self.waiting and self.transport is not None:
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -204,7 +202,7 @@
             return
         call.size += len(data)
         if call.size > BODY_MAX:
-            self._fault(413)
+            self._fault(413, f"a body of over {BODY_MAX} bytes")
         elif call.dropped:
             return
         elif call.flowing or self._flows(call, len(data)):
@@ -315,10 +313,12 @@
             self.held_off = True
             self._read_on(False)
 
-    def _fault(self, status: int) -> None:
+    def _fault(self, status: int, why: str) -> None:
         """What comes is no request that can be answered otherwise; nothing after it can be read."""
         if self.closing:
             return
+        peer = self.transport.get_extra_info("peername") if self.transport is not None else None
+        log.info("a client's connection ends with %d: %s, from %s", status, why, peer)
         self.closing = True
         call = self.arriving or self._call()
         self.arriving, self.in_head = None, False
--- a/notchflow/net/client.py
+++ b/notchflow/net/client.py
@@ -350,7 +350,7 @@
             self.transport.abort()
         elif not busy and self.due_since is not None and now - self.due_since > self._arrival_ms():
             if self.arriving is not None and not self.closing:
-                self._fault(408)
+                self._fault(408, "a request that came too slowly")
                 self._step()
             else:
                 self.close()
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 
 import pytest
 from hypothesis import HealthCheck, given, settings
@@ -37,18 +38,26 @@
 
 
 @pytest.mark.parametrize("data,status", BAD)
-def test_what_cannot_be_read_is_answered_and_ends_the_connection(data: bytes, status: int) -> None:
+def test_what_cannot_be_read_is_answered_and_ends_the_connection(
+        data: bytes, status: int, caplog: pytest.LogCaptureFixture) -> None:
     async def test() -> None:
         async with Rig() as rig:
             client = await rig.connect()
             client.writer.write(data)
             seen = await client.receive()
             assert seen is not None and seen.status == status
+            peer = client.writer.get_extra_info("sockname")
+            told = [r.getMessage() for r in caplog.records if "connection ends" in r.msg]
+            if data.startswith(b"GET /api/00aa\r\n"):
+                assert told == [], "HTTP/0.9 can be read: it is a request without an id"
+            else:
+                assert [f"ends with {status}: " in t and t.endswith(f", from {peer}") for t in told] == [True]
             assert seen.headers["connection"] == "close"
             assert await client.reader.read() == b"", "nothing may follow"
             assert rig.sent == 0
             assert (await rig.ask()).status == 200, "others are served as before"
-    run(test())
+    with caplog.at_level(logging.INFO):
+        run(test())
 
 
 @pytest.mark.parametrize("data,status", UNANSWERABLE)
