--- a/notchflow/net/front.py
+++ b/notchflow/net/front.py
@@ -79,12 +79,11 @@
     def close_idle(self) -> bool:
         """Makes room by closing a connection that is surely not about to carry a request, if there is one."""
         now = self.host.clock.now()
-        for client in self.lingering:  # what was answered has long arrived
-            if client.transport is not None and now >= client.closed_at + STILL_MS:
-                client.transport.abort()
-                del self.lingering[client]
-                return True
-            break
+        oldest = next(iter(self.lingering), None)
+        if oldest is not None and oldest.transport is not None and now >= oldest.closed_at + STILL_MS:
+            oldest.transport.abort()  # what was answered has long arrived
+            del self.lingering[oldest]
+            return True
         for client in islice(self.idle, LOOKED_AT):
             if now < client.active_at + STILL_MS:
                 break  # and so are all that became idle after it
--- a/notchflow/net/watch.py
+++ b/notchflow/net/watch.py
@@ -20,6 +20,7 @@
 
 from notchflow.interface import ListKind, Rules, State
 from notchflow.net.listing import Listing
+from notchflow.policy.balancer import back_off
 
 # Where lists are asked for. A call that continues a watch asks for the longest wait that discovery allows, as
 # what a silent one misses counts as told 2 s after its wait. Any other asks to be answered at once: that
@@ -29,10 +30,6 @@
 SOON_MS: Final = 1
 CONTINUES_MS: Final = 150.0  # after an answer; the watch is over 200 ms after it
 RENEW_MS: Final = (10_000.0, 30_000.0)  # when a watch is opened anew, from its beginning
-# After a call that came to nothing a change counts as told 6 s after it was made: room for two calls that
-# each queue for 2 s, or for a silent one and one more, with their pauses.
-RETRY_MS: Final = (250.0, 1_000.0)
-RETRY_SHARE: Final = 0.4  # of the time to ask within, if that is less
 QUEUE_MS: Final = 2_000.0  # discovery turns away by then what it does not take
 QUEUE_MARGIN_MS: Final = 500.0  # until a call that was to be answered at once is taken for silent
 ANSWER_MARGIN_MS: Final = 1_000.0  # after the longest wait, until a call is taken for silent
@@ -257,8 +254,7 @@
             if not self.asked:
                 self.renew_at = now + again
             elif not self.out[0].soon:
-                most = min(RETRY_MS[1], RETRY_SHARE * self.rules.ask_within_ms)
-                self.renew_at = now + self.rng.uniform(min(RETRY_MS[0], most), most)
+                self.renew_at = now + back_off(self.rng, self.rules)
             return [Failed(problem, True)]
         if self.asked:  # the module says when
             self.wanted = False
--- a/notchflow/policy/balancer.py
+++ b/notchflow/policy/balancer.py
@@ -12,7 +12,7 @@
 
 from notchflow.interface import (
     Action, Arrived, Cancel, ClientGone, Event, Fail, ListKind, Membership, Outcome, Refuse, Request, Retune,
-    Send, SetTimer, Settings, Spent, State, Status, StreamStarted, Timer, Watch,
+    Rules, Send, SetTimer, Settings, Spent, State, Status, StreamStarted, Timer, Watch,
 )
 from notchflow.policy.budgets import Budgets
 from notchflow.policy.fleet import Fleet
@@ -26,10 +26,16 @@
 COMFORT: Final = 0.7  # of a class's aim: an answer in so much of it shows no pressure
 WATCH_EARLY: Final = 0.3
 WATCH_SPACING_MS: Final = 25.0  # between the first calls of all instances, on average
-BACKOFF_MS: Final = (250.0, 1_000.0)  # twice this and two calls in discovery's queue: 6 s, when changes count
+BACKOFF_MS: Final = (250.0, 1_000.0)  # twice this and two calls that queue for 2 s: 6 s, when changes count
 BACKOFF_SHARE: Final = 0.4  # of the time to ask within, at most
 
 
+def back_off(rng: random.Random, rules: Rules) -> float:
+    """How long after a call for the list that came to nothing the next is made."""
+    most = BACKOFF_SHARE * rules.ask_within_ms
+    return rng.uniform(*(min(pause, most) for pause in BACKOFF_MS))
+
+
 class Balancer:
     """Decides what becomes of every request of one balancer."""
 
@@ -123,9 +129,7 @@
                             WATCH_SPACING_MS * self.settings.balancers)
                 self.actions.append(SetTimer(now + self.rng.random() * early, "watch"))
         elif event.kind is ListKind.FAILED and self.settings.list_on_request:
-            most = BACKOFF_SHARE * self.settings.rules.ask_within_ms
-            wait = self.rng.uniform(*(min(pause, most) for pause in BACKOFF_MS))
-            self.actions.append(SetTimer(now + wait, "watch"))
+            self.actions.append(SetTimer(now + back_off(self.rng, self.settings.rules), "watch"))
 
     def _timer(self, now: float, token: str) -> None:
         if token == "watch":
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -18,7 +18,6 @@
     QUEUE_MARGIN_MS,
     QUEUE_MS,
     RENEW_MS,
-    RETRY_MS,
     SOON_MS,
     WAIT_MS,
     Action,
@@ -29,6 +28,7 @@
     Watch,
     WatchError,
 )
+from notchflow.policy.balancer import BACKOFF_MS
 from tests.helpers import RULES
 
 NOTHING = Listing(41, False)
@@ -90,7 +90,7 @@
     now = watch.wake_at
     watch.wake(now)
     assert watch.failed(now, 3, "status 503") == [Failed("status 503", True)]
-    assert now + RETRY_MS[0] <= watch.wake_at <= now + RETRY_MS[1]
+    assert now + BACKOFF_MS[0] <= watch.wake_at <= now + BACKOFF_MS[1]
     assert watch.wake(watch.wake_at) == [Ask(4, 41, SOON_MS)]
 
 
