No attempt begins for a client that left while the process stood still

Callers saw: after a stall of 0.15 s up to three attempts began for a client that had closed over 0.1 s before (rule `lost`).

Cause: what follows from a failed attempt began in the turn in which the failure was read, the client's end unread beside it; and an end was taken for as new as its reading.

Fix: what was not read just now begins after one more poll of the loop; the 50 ms allowed count from when the request came, at the earliest, told by a timer that shows stalls. An attempt that finds its client gone ends the request as departed, once. No system call. The first test that is new (request and end unread together) fails with the stall detector taken out.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -3,8 +3,9 @@
 Three instances of the real program serve on loopback, each before the same four nodes. Clients keep their
 connections and use them until the process is killed, at the page's earliest: the longest deadline and 0.7 s
 after SIGTERM. Meanwhile signals come in series, also two in one instant, files are new or broken, processes
-are stopped for a moment, nodes drain, hang, reset their connections, and others come. In one run of four a
-crowd of idle clients fills the descriptors of one instance. Exits with 1 where a rule is broken.
+are stopped for a moment, nodes drain, hang, reset their connections, and others come. As a process is
+stopped, some of its clients leave in the midst of a request and the nodes reset their connections. In one run
+of four a crowd of idle clients fills the descriptors of one instance. Exits with 1 where a rule is broken.
 """
 
 from __future__ import annotations
@@ -15,6 +16,8 @@
 import os
 import random
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -22,7 +25,8 @@
 from typing import Any, Final
 
 from benchmarks.rig import ROOT
-from benchmarks.soak_checks import Asked, Broken, Record, Run, Stopped, check
+from benchmarks.soak_checks import Asked, Broken, Departure, Heard, Left, Record, Run, Stopped, check
+from notchflow.net.stalls import BEAT_MS, StallDetector
 from standins.box import Box, Execution, Work
 from standins.discovery import Registry, member
 from standins.ports import free_ports
@@ -40,6 +44,9 @@
 FRONT_STOPS_S: Final = 0.2  # after SIGTERM the front still opens connections for so long
 READY_S: Final = 20.0
 STALL_MOST_S: Final = 0.15
+LEAVING: Final = 0.5  # of the clients with a request in hand while their instance's process is stopped
+LEAVE_AFTER_S: Final = 0.03
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 s
 WORK: Final = Work(seconds=0.005, cores=8, body=200)
 HANGS: Final = Work(seconds=30.0, cores=64)
 LIMITS: Final = {"MaxAttempts": 3, "SecondCopies": True, "Cancel": True}
@@ -57,6 +64,7 @@
         (self.port,) = free_ports(1)
         self.file = soak.folder / f"{self.name}.json"
         self.process: subprocess.Popen[bytes] | None = None
+        self.clients: list[Client] = []
         self.leaves_at = float("inf")  # when its process was told to end
 
     def write(self, broken: bool = False) -> None:
@@ -132,6 +140,23 @@
         self.name = f"{instance.name}-{number}"
         self.draw = random.Random(f"{soak.seed} {self.name}")
         self.count = 0
+        self.writer: asyncio.StreamWriter | None = None  # with a request in hand
+
+    def leave(self, how: Departure) -> None:
+        """Ends its connection in the midst of a request."""
+        writer = self.writer
+        if writer is None or writer.is_closing():
+            return
+        self.writer = None
+        if how is Departure.HALF_CLOSE:
+            writer.write_eof()
+        elif how is Departure.CLOSE:
+            writer.close()
+        else:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+        self.soak.record.left.append(Left(f"{self.name}-{self.count}", how, self.soak.now()))
 
     async def run(self) -> None:
         """Connects again and again until the soak is over."""
@@ -171,6 +196,7 @@
             f"X-Call-Class: {cls}\r\nX-Budget: {budget_s}\r\nContent-Length: 0\r\n\r\n".encode()
         )
         status, closes = None, True
+        self.writer = writer
         try:
             async with asyncio.timeout(budget_s + 2.0):
                 head = (await reader.readuntil(b"\r\n\r\n")).lower()
@@ -179,9 +205,10 @@
             status, closes = int(head[9:12]), b"connection: close" in head
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
             pass
+        left, self.writer = self.writer is None, None
         ended = self.soak.now()
         self.soak.record.asked.append(Asked(number, unsafe, first, begun, budget_s, status, ended))
-        return not closes
+        return not (closes or left)
 
 
 class Soak:
@@ -195,6 +222,7 @@
         self.nodes: dict[str, Box] = {}
         self.draining: list[str] = []  # these go on serving: what they run after the grace is a break
         self.over = False
+        self.stalls = StallDetector(0.0)  # of this process, which the nodes run in
         self.idle: list[asyncio.StreamWriter] = []
 
     def now(self) -> float:
@@ -212,8 +240,10 @@
             await asyncio.gather(*(one.start() for one in instances))
             if self.record.crowd:
                 await self._crowd(instances[0])
-            runs = [Client(self, one, number).run() for one in instances for number in range(CLIENTS)]
-            clients = [asyncio.create_task(run) for run in runs]
+            for one in instances:
+                one.clients = [Client(self, one, number) for number in range(CLIENTS)]
+            clients = [asyncio.create_task(client.run()) for one in instances for client in one.clients]
+            clients.append(asyncio.create_task(self._beat()))
             async with asyncio.TaskGroup() as troubles:
                 troubles.create_task(self._trouble_nodes())
                 for one in instances:
@@ -245,10 +275,18 @@
         def note(run: Execution, fields: dict[bytes, bytes], body: bytes) -> None:
             self.record.runs.append(Run(run.id, name, self.now()))
 
-        box.watch = note
+        def hear(number: str) -> None:
+            self.record.heard.append(Heard(number, self.stalls.earliest(self.now() * 1e3) / 1e3))
+
+        box.watch, box.heard = note, hear
         await box.start()
         await self.registry.put(member(name, box.address, **entry))
 
+    async def _beat(self) -> None:
+        while not self.over:
+            self.stalls.beat(self.now() * 1e3)
+            await asyncio.sleep(BEAT_MS / 1e3)
+
     async def _crowd(self, instance: Instance) -> None:
         for _ in range(CROWD):
             _, writer = await asyncio.open_connection("127.0.0.1", instance.port)
@@ -276,6 +314,13 @@
 
     async def _stall(self, one: Instance, draw: random.Random) -> None:
         one.signal(signal.SIGSTOP)
+        if draw.random() < 0.5:
+            await asyncio.sleep(draw.uniform(0.0, LEAVE_AFTER_S))
+            for client in one.clients:
+                if draw.random() < LEAVING:
+                    client.leave(draw.choice(list(Departure)))
+            for box in self.nodes.values():
+                box.reset()
         await asyncio.sleep(draw.uniform(0.05, STALL_MOST_S))
         one.signal(signal.SIGCONT)
 
@@ -307,8 +352,7 @@
                 await asyncio.sleep(self.draw.uniform(0.5, 1.5))
                 box.work = WORK
             else:
-                for transport in list(box.open):
-                    transport.abort()
+                box.reset()
 
 
 async def play(seed: int, span_s: float = SPAN_S) -> tuple[Record, list[Broken]]:
@@ -330,8 +374,9 @@
         statuses = [one.status for one in record.asked]
         slowest = max((one.ended_at - one.told_at for one in record.stopped), default=0.0)
         print(
-            f"seed {seed}: {len(statuses)} requests, {statuses.count(200)} served, {statuses.count(None)} "
-            f"crossed a close, {len(record.stopped)} ends, slowest {slowest:.2f} s, {len(broken)} broken",
+            f"seed {seed}: {len(statuses)} requests, {statuses.count(200)} served, "
+            f"{statuses.count(None)} without an answer, {len(record.left)} left, {len(record.stopped)} ends, "
+            f"slowest {slowest:.2f} s, {len(broken)} broken",
             flush=True,
         )
         for one in broken:
--- a/notchflow/emulator/sends.py
+++ b/notchflow/emulator/sends.py
@@ -47,7 +47,7 @@
         self.answers = 0
         call = self.call = Call(self, proxy.host)
         call.method, call.url = b"GET", b"/%d" % number
-        call.arrived_at = proxy.host.clock.now()
+        call.arrived_at = call.earliest_at = proxy.host.clock.now()
         if number % 4 == 3:
             call.flowing = call.chunked = True
             call.passed.append(b"Transfer-Encoding: chunked\r\n")
--- a/notchflow/net/arrival.py
+++ b/notchflow/net/arrival.py
@@ -328,6 +328,7 @@
         if call is None:
             return
         call.arrived_at = self.active_at
+        call.earliest_at = self.host.stalls.earliest(self.active_at)
         if call.flowing:
             self._pass_pieces(call)
             call.whole = True
--- a/notchflow/net/client.py
+++ b/notchflow/net/client.py
@@ -12,7 +12,7 @@
 from httptools import HttpRequestParser
 
 from notchflow.net.arrival import ARRIVE_MS, BODY_MAX, BODY_RATE, Arrival, Entrance
-from notchflow.net.exchange import REASONS, Answer, Call, Reply
+from notchflow.net.exchange import DEPARTED, REASONS, Answer, Call, Reply
 from notchflow.net.heads import PLAIN, info_size, number_of, readable
 
 log = logging.getLogger(__name__)
@@ -21,8 +21,9 @@
 IDLE_MS = 75_000.0
 STALLED_MS = 10_000.0
 LINGER_MS = 2_000.0  # of a lingering close, whatever comes meanwhile
-# A client that sends no more may have gone for good: both look the same. For so long what it asked for may
-# still begin, as a half-closed client may send its end along with its request; after 100 ms it is a fault.
+# A client that sends no more may have gone for good: both look the same. For so long after its last byte came
+# what it asked for may still begin, as a half-closed client may send its end along with its request; an
+# attempt over 100 ms after the end is a fault.
 LEFT_MS = 50.0
 GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 PREFIX = b"/api/"
@@ -33,7 +34,7 @@
 class Client(Arrival):
     """A client's connection."""
 
-    __slots__ = ("stepping", "paused", "chunked", "charged", "known", "left_at", "closed_at")
+    __slots__ = ("stepping", "paused", "chunked", "charged", "known", "half_closed", "closed_at")
 
     def __init__(self, front: Entrance, known: bool = False) -> None:
         super().__init__(front)
@@ -42,7 +43,7 @@
         self.paused = False
         self.chunked = False
         self.charged = 0
-        self.left_at = math.inf  # when it was read that the client sends no more
+        self.half_closed = False  # the client's end has been read
         self.closed_at = math.inf  # when a lingering close began
 
     def _call(self) -> Call:
@@ -58,7 +59,7 @@
         self.front.idle[self] = None
 
     def eof_received(self) -> bool:
-        self.left_at = self.host.clock.now()
+        self.half_closed = True
         if self.closed_at < math.inf:
             return False  # both sides are done
         if self.current is self.arriving and not self.waiting:
@@ -66,15 +67,13 @@
         self.closing = True
         return True
 
-    @property
-    def half_closed(self) -> bool:
-        """Whether the client's end has been read."""
-        return self.left_at < math.inf
-
     def gone(self, now: float) -> bool:
-        if self.transport is None or now > self.left_at + LEFT_MS:
+        """Whether it has left, or sends no more and may have left over LEFT_MS ago."""
+        if self.transport is None:
             return True
-        return self.lags and not self.half_closed and bool(self._poll(GONE))
+        if self.half_closed:
+            return self.current is None or now > self.current.earliest_at + LEFT_MS
+        return self.lags and bool(self._poll(GONE))
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = self.parser = None
@@ -86,7 +85,7 @@
         self.waiting.clear()
         for call in calls:
             item = call.open
-            call.settle(0)
+            call.settle(DEPARTED)
             if item is not None:
                 self.host.client_gone(item)
         self.front.lost(self)
@@ -131,7 +130,7 @@
     def _drop_waiting(self) -> None:
         """What was sent ahead of a close is not taken up."""
         for call in self.waiting:
-            call.settle(0)
+            call.settle(DEPARTED)
         self.waiting.clear()
 
     # -- one request after the other
--- a/notchflow/net/connection.py
+++ b/notchflow/net/connection.py
@@ -162,7 +162,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=0)  # so resume_writing tells that the last byte has gone
-        self.pool.opened(self)
+        self.pool.host.soon(self._opened, None)
+
+    def _opened(self, _: object) -> None:
+        """A turn later: the end of a client that lay unread beside this has been read by now."""
+        if self.transport is not None:
+            self.pool.opened(self)
 
     def pause_writing(self) -> None:
         if self.exchange is not None and self.exchange.unfinished:
--- a/notchflow/net/desk.py
+++ b/notchflow/net/desk.py
@@ -36,16 +36,17 @@
 from notchflow.net.clock import Clock
 from notchflow.net.config import Config
 from notchflow.net.discovery import Discovery
-from notchflow.net.exchange import Answer, Call, Open
+from notchflow.net.exchange import DEPARTED, Answer, Call, Open
 from notchflow.net.front import Front
 from notchflow.net.pool import Pool
+from notchflow.net.stalls import StallDetector
 from notchflow.net.timers import Calendar, Handle
 from notchflow.operations.figures import Figures
 from notchflow.policy.balancer import Balancer
 
 log = logging.getLogger(__name__)
 
-OK = Status.OK  # looked up for every request
+OK, MOOT = Status.OK, Status.MOOT  # looked up for every request
 LATE_MS = 2.0
 
 
@@ -75,6 +76,7 @@
         self.telling = False
         self.now = 0.0  # when the module was last asked: what it decided begins then
         self.timers = Calendar()
+        self.stalls = StallDetector(self.clock.now())
         self.armed: asyncio.TimerHandle | None = None
         self.armed_for = float("inf")
         self.used = 0
@@ -93,6 +95,10 @@
     def soon(self, call: Callable[..., None], argument: Any) -> None:
         self.loop.call_soon(call, argument)
 
+    def once_read(self, call: Callable[..., None], argument: Any) -> None:
+        """Calls back once the loop has polled again: what lay unread beside the event in hand was read."""
+        self.loop.call_soon(self.loop.call_soon, call, argument)
+
     def _arm(self, due: float) -> None:
         if self.armed is not None:
             self.armed.cancel()
@@ -207,7 +213,6 @@
             or now >= item.deadline
             or attempt_number >= self.max_attempts
             or item.call.spent
-            or (attempt_number and item.call.client.gone(now))
             or (item.out and not self.settings.limits.second_copies)
         ):
             self.inbox.append(Outcome(number, attempt_number, node, Status.MOOT, closed=item.done))
@@ -217,7 +222,20 @@
         item.out[attempt_number] = attempt
         if expires < item.deadline:
             attempt.timer = self.at(expires, self._expire, attempt)
-        pool.send(attempt, now)
+        if attempt_number or item.call.earliest_at != self.clock.turn():
+            self.once_read(self._begin, attempt)
+        else:
+            pool.send(attempt, now)
+
+    def _begin(self, attempt: Attempt) -> None:
+        """Begins an attempt whose request was not read just now, if it may still begin."""
+        if attempt.over:
+            return
+        attempt.begun_at = now = self.clock.now()
+        if attempt.wanted(now):
+            attempt.pool.send(attempt, now)
+        else:
+            attempt.unsent()
 
     def _expire(self, attempt: Attempt) -> None:
         if not attempt.over and not attempt.started:
@@ -252,9 +270,8 @@
             item.last = Status.TIMEOUT
             self._fail(item)
             return
-        if call.client.gone(self.clock.now()):  # it never ran, which whoever is half-closed may be told
-            self._end(item)
-            call.client.refuse(call, 0.0)
+        if call.client.gone(self.clock.now()):
+            self._depart(item)
             return
         if arriving:
             item.budget_ms = budget_ms
@@ -319,7 +336,19 @@
             self._fail(item)
             self.tell(ClientGone(item.id))
 
+    def _depart(self, item: Open) -> None:
+        """Ends a request for which nothing may begin, as its client has gone. A client that has only closed
+        its sending side is still told, by 503, that nothing ran."""
+        call = item.call
+        call.settle(DEPARTED)
+        self.client_gone(item)
+        if item.may_have_run:
+            call.client.fail(call, 502)
+        else:
+            call.client.refuse(call, 0.0)
+
     def client_gone(self, item: Open) -> None:
+        """The client has left: nothing is owed to it any more, and the module hears of it."""
         if item.done:
             return
         self._end(item)
@@ -350,8 +379,12 @@
         item = attempt.open
         item.out.pop(attempt.number, None)
         item.last = status
-        if item.call.ticket is not None and not status.never_ran:
-            item.call.ran = True
+        if not status.never_ran:
+            item.may_have_run = True
+            if item.call.ticket is not None:
+                item.call.ran = True
+        if status is MOOT and not (item.done or item.out) and item.call.client.gone(self.clock.now()):
+            self._depart(item)
         if not item.done:
             call = item.call
             if attempt.started:
--- a/notchflow/net/exchange.py
+++ b/notchflow/net/exchange.py
@@ -11,6 +11,7 @@
 from notchflow.interface import Event, ListKind, Settings, Status
 from notchflow.net.clock import Clock
 from notchflow.net.listing import Listing
+from notchflow.net.stalls import StallDetector
 from notchflow.net.timers import Calendar, Handle
 from notchflow.operations.duty import Duty
 from notchflow.operations.figures import ClassCounts, Figures
@@ -29,6 +30,7 @@
         b"proxy-authorization",
     }
 )
+DEPARTED = 0  # in place of a status: the client left before its answer
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -126,7 +128,7 @@
         """Counts bytes held; false where they are over the tenant's limit."""
 
     def done(self, status: int, ran: bool) -> None:
-        """The request is over: answered with this status, or 0 where its client left. Called once. `ran`: an
+        """The request is over: answered with this status, or DEPARTED. Called once. `ran`: an
         attempt may have run, or may yet."""
 
 
@@ -162,6 +164,7 @@
         "keep",
         "chunks_allowed",
         "arrived_at",
+        "earliest_at",
         "open",
         "fault",
         "ticket",
@@ -187,6 +190,7 @@
         self.keep = False
         self.chunks_allowed = True
         self.arrived_at = 0.0
+        self.earliest_at = 0.0  # when it may have come: before it was read, if the process stood still
         self.open: Open | None = None
         self.fault = 0  # the status that a request which never reaches the module is answered with
         self.ticket: Ticket | None = None
@@ -232,6 +236,7 @@
         "done",
         "streaming",
         "last",
+        "may_have_run",
         "timer",
         "counts",
     )
@@ -247,6 +252,7 @@
         self.done = False
         self.streaming: Try | None = None
         self.last: Status | None = None
+        self.may_have_run = False  # by an attempt that has ended
         self.timer: Handle | None = None
 
 
@@ -288,6 +294,7 @@
 
     loop: asyncio.AbstractEventLoop
     clock: Clock
+    stalls: StallDetector
     held: int
     held_max: float
     used: int
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -71,6 +71,7 @@
             self.apply(self.config.known, ListKind.CACHED)
         self.discovery.begin()
         self.at(self.clock.now() + SWEEP_MS, self._sweep)
+        self._beat()
         for front in self.fronts:
             front.listen()
         if self.console is not None:
@@ -274,6 +275,9 @@
         else:
             self.at(now + DRAIN_STEP_MS, self._drain)
 
+    def _beat(self, _: object = None) -> None:
+        self.at(self.stalls.beat(self.clock.now()), self._beat)
+
     def _sweep(self, _: object = None) -> None:
         now = self.clock.now()
         self.at(now + SWEEP_MS, self._sweep)
--- a/notchflow/net/pool.py
+++ b/notchflow/net/pool.py
@@ -141,6 +141,8 @@
 
     def closed(self, connection: Connection) -> None:
         self._uncount(connection)
+        self._undone(connection)  # lost as soon as it had come up
+        self.adopting.pop(connection, None)
         if connection in self.idle:
             self.idle.remove(connection)
 
--- a/standins/box.py
+++ b/standins/box.py
@@ -43,6 +43,7 @@
         self.name, self.work = name, work or Work()
         self.executions: Counter[tuple[str, str, str]] = Counter()
         self.watch: Callable[[Execution, dict[bytes, bytes], bytes], None] | None = None
+        self.heard: Callable[[str], None] | None = None  # told the X-Call-Id of each request that has come
         self.busy = 0
         self.queue: deque[Callable[[], None]] = deque()
         self.open: set[asyncio.Transport] = set()
@@ -66,6 +67,10 @@
         """As when the process dies: connections are reset, new ones refused."""
         if self.server is not None:
             self.server.close()
+        self.reset()
+
+    def reset(self) -> None:
+        """Resets all its connections."""
         for transport in list(self.open):
             transport.abort()
 
@@ -134,6 +139,8 @@
     def on_message_complete(self) -> None:
         method = self.parser.get_method()
         url, fields, body = self.url, self.fields, self.body
+        if self.box.heard is not None:
+            self.box.heard(fields.get(b"x-call-id", b"").decode("latin-1"))
         if self.box.draining or self.box.fails():
             self._write(b"503 Service Unavailable", b"X-Rejected: 1\r\n", b"")
         elif b"x-call-id" not in fields:
--- a/tests/crossings/test_client_gone.py
+++ b/tests/crossings/test_client_gone.py
@@ -222,3 +222,44 @@
             assert rig.sent == 1
 
     run(test())
+
+
+def test_a_first_attempt_does_not_begin_where_request_and_end_lay_unread_through_a_stall(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against first attempts that begin over 0.1 s after their client's end."""
+    monkeypatch.setattr(downstream, "LEFT_MS", LEFT_MS)
+
+    async def test() -> None:
+        async with rig_of(serve_value) as rig:
+            client = await rig.connect()
+            assert (await client.ask()).status == 200  # so that an idle connection to the node is there
+            stalls = rig.host.stalls
+            then = stalls.beat_at
+            await until(lambda: stalls.beat_at > then)
+            client.send()
+            ends_sending(client)
+            time.sleep(STALL_S)
+            seen = await client.receive()
+            assert seen is not None and seen.status == 503
+            await all_over(rig)
+            assert rig.sent == 1 and rig.host.figures.classes["read"].departed == 1
+
+    run(test())
+
+
+def test_a_request_whose_end_comes_along_with_it_is_served_after_no_stall(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(downstream, "LEFT_MS", LEFT_MS)
+
+    async def test() -> None:
+        async with rig_of(serve_value) as rig:
+            client = await rig.connect()
+            client.send()
+            ends_sending(client)
+            seen = await client.receive()
+            assert seen is not None and seen.status == 200
+            await all_over(rig)
+
+    run(test())
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -8,7 +8,7 @@
 import pytest
 
 from benchmarks.soak import play
-from benchmarks.soak_checks import Asked, Record, Run, Stopped, check
+from benchmarks.soak_checks import Asked, Departure, Heard, Left, Record, Run, Stopped, check
 
 SPAN_S = 6.0
 SEEDS = (1, 8)  # the second with a crowd of idle clients
@@ -20,6 +20,8 @@
     grace_s=0.4,
     asked=[ANSWERED, CROSSED, PAID],
     runs=[Run("a", "s-0", 1.1), Run("c", "s-1", 1.1), Run("a", "s-1", 1.15)],
+    heard=[Heard("a", 1.05), Heard("c", 1.05), Heard("c", 1.19)],
+    left=[Left("c", Departure.HALF_CLOSE, 1.1)],
     stopped=[Stopped("n0", 2.0, 3.1, 0)],
     told={"s-0": 0.9},
 )
@@ -42,6 +44,16 @@
         ("answer", replace(KEPT, asked=[replace(CROSSED, first=True)])),
         ("answer", replace(KEPT, asked=[replace(CROSSED, ended_at=1.5)])),
         ("effect", replace(KEPT, runs=[*KEPT.runs, Run("c", "s-2", 1.2)])),
+        ("gone", replace(KEPT, heard=[*KEPT.heard, Heard("c", 1.25)])),
+        ("answer", replace(KEPT, left=[], asked=[replace(ANSWERED, status=None)])),
+        (
+            "answer",
+            replace(
+                KEPT,
+                left=[Left("a", Departure.HALF_CLOSE, 1.1)],
+                asked=[replace(ANSWERED, status=None)],
+            ),
+        ),
         ("drain", replace(KEPT, runs=[Run("a", "s-0", 1.5)])),
         ("end", replace(KEPT, stopped=[Stopped("n0", 2.0, 3.7, None)])),
         ("end", replace(KEPT, stopped=[Stopped("n0", 2.0, 3.0, 1)])),
@@ -50,4 +62,6 @@
 def test_the_checker_tells_a_history_with_one_event_broken(rule: str, record: Record) -> None:
     assert check(KEPT) == []
     assert check(replace(KEPT, crowd=True, asked=[replace(CROSSED, first=True)])) == []
+    gone = replace(KEPT, left=[Left("a", Departure.CLOSE, 1.1)], asked=[replace(ANSWERED, status=None)])
+    assert check(gone) == []
     assert [one.rule for one in check(record)] == [rule]
