Ports that must be known before their process listens: none is the kernel's to give

A question for /health/ready had reached one of the test's own nodes.

Cause: free_ports took ports from the kernel's range and let them go until the process came up. lasting_ports assumed that range, and nothing kept two processes from one choice.

Fix: one function. Ports lie outside the range that the system tells, and each is locked (a byte of one file) against other processes for the life of the one that took it. The failed test stays as it is.

--- a/.ci/start.py
+++ b/.ci/start.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -15,15 +14,12 @@
 import urllib.request
 from pathlib import Path
 
+from standins.ports import free_ports
+
 ROOT = Path(__file__).resolve().parent.parent
 WAIT_S = 30.0
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return int(server.getsockname()[1])
-
-
 def start_adapter(command: str) -> None:
     done = subprocess.run(
         ["/bin/sh", "-c", command],
@@ -38,7 +34,7 @@
 
 
 def start_proxy(command: str) -> None:
-    listen, discovery = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
+    listen, discovery = (f"127.0.0.1:{port}" for port in free_ports(2))
     with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
         json.dump({"settings": {"Classes": [{"Name": "read", "ObjectiveMs": 300, "DeadlineMs": 500}]}}, file)
         file.flush()
--- a/notchflow/faults/rig.py
+++ b/notchflow/faults/rig.py
@@ -28,7 +28,7 @@
 from standins.box import Box, Execution, Work
 from standins.discovery import Registry, member
 from standins.load import Paced
-from standins.ports import lasting_ports
+from standins.ports import free_ports
 from standins.relay import WHOLE, Law, Mesh
 
 TENANT: Final = "alfa"
@@ -357,7 +357,7 @@
 
     def _twin(self, one: Instance) -> None:
         folder = self.folder / f"{one.name}-twin-{len(self.twins) + 1}"
-        twin = Instance(one.name, folder, Ports(*lasting_ports(3)), one.token)
+        twin = Instance(one.name, folder, Ports(*free_ports(3)), one.token)
         folder.mkdir()
         copy_folder(one.folder / "state", folder / "state")
         text = one.file.read_text()
--- a/notchflow/hosting/fleet.py
+++ b/notchflow/hosting/fleet.py
@@ -25,7 +25,7 @@
 from notchflow.state.database import Database, Token
 from notchflow.tenancy.keys import ADMIN, KEY, mint
 from notchflow.tenancy.model import ApiKey, Limits, Tenant
-from standins.ports import lasting_ports
+from standins.ports import free_ports
 
 READY_S: Final = 30.0
 END_S: Final = 10.0
@@ -170,7 +170,7 @@
         self.folder, self.discovery, self.more = folder, discovery, more
         folder.mkdir(parents=True, exist_ok=True)
         self.names = [f"p{number + 1}" for number in range(count)]
-        ports = lasting_ports(3 * count)
+        ports = free_ports(3 * count)
         self.operator = mint(ADMIN)
         self.keys = {tenant: mint(KEY) for tenant in tenants}
         self.limits = limits
--- a/standins/ports.py
+++ b/standins/ports.py
@@ -1,39 +1,78 @@
-"""Free ports on loopback."""
+"""Ports on loopback for servers whose port must be known before they listen."""
 
 from __future__ import annotations
 
+import fcntl
+import os
 import random
 import socket
+import tempfile
+from functools import cache
+from pathlib import Path
+from typing import Final
 
+KERNEL_RANGE: Final = Path("/proc/sys/net/ipv4/ip_local_port_range")
+KERNEL_RANGE_USUAL: Final = (32_768, 60_999)  # where the system does not say
+LOWEST, HIGHEST = 10_000, 65_535
+LOCKS: Final = Path(tempfile.gettempdir()) / "notchflow-ports.lock"
 
-def free_ports(count: int) -> list[int]:
-    """Ports that nobody listens on, no two the same: all are held until all are known."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [int(s.getsockname()[1]) for s in sockets]
-    for s in sockets:
-        s.close()
-    return ports
-
+_given: set[int] = set()
 
-# Below the range from which the kernel gives ports to sockets that ask for any (32768 on, by its default):
-# what is free here stays free while a process starts again.
-LOWEST, HIGHEST = 12_000, 32_000
 
+def free_ports(count: int) -> list[int]:
+    """Ports for datagrams and connections that nobody else gets as long as this process lives.
 
-def lasting_ports(count: int) -> list[int]:
-    """Ports for datagrams and connections that no socket gets by chance, for processes that come and go."""
+    They lie outside the range from which the kernel gives ports to whoever asks for any, and each is locked
+    against other processes that call this. OSError where there are too few.
+    """
+    candidates = _outside(*_kernel_range())
+    start = random.SystemRandom().randrange(len(candidates)) if candidates else 0
     found: list[int] = []
-    start = random.SystemRandom().randrange(LOWEST, HIGHEST)
-    for offset in range(HIGHEST - LOWEST):
+    for port in candidates[start:] + candidates[:start]:
         if len(found) == count:
-            return found
-        port = LOWEST + (start - LOWEST + offset) % (HIGHEST - LOWEST)
-        if all(_free(port, kind) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)):
+            break
+        if _take(port):
             found.append(port)
-    raise OSError(f"fewer than {count} ports are free between {LOWEST} and {HIGHEST}")
+    if len(found) < count:
+        raise OSError(f"{len(found)} of {count} ports are free outside {KERNEL_RANGE}; narrow that range")
+    return found
+
+
+def _kernel_range() -> tuple[int, int]:
+    try:
+        first, last = KERNEL_RANGE.read_text().split()
+        return int(first), int(last)
+    except (OSError, ValueError):
+        return KERNEL_RANGE_USUAL
+
+
+def _outside(first: int, last: int) -> list[int]:
+    return [*range(LOWEST, min(first, HIGHEST + 1)), *range(max(last + 1, LOWEST), HIGHEST + 1)]
+
+
+def _take(port: int) -> bool:
+    """Whether the port is this process's from now on."""
+    if port in _given or not _lock(port):
+        return False
+    _given.add(port)
+    return all(_unused(port, kind) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM))
+
+
+@cache
+def _lock_file() -> int:
+    """A descriptor that stays open: its locks end with the process."""
+    return os.open(LOCKS, os.O_RDWR | os.O_CREAT, 0o666)
+
+
+def _lock(port: int) -> bool:
+    try:
+        fcntl.lockf(_lock_file(), fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except BlockingIOError:
+        return False
+    return True
 
 
-def _free(port: int, kind: socket.SocketKind) -> bool:
+def _unused(port: int, kind: socket.SocketKind) -> bool:
     with socket.socket(socket.AF_INET, kind) as sock:
         try:
             sock.bind(("127.0.0.1", port))
--- a/tests/cluster/test_edge.py
+++ b/tests/cluster/test_edge.py
@@ -23,7 +23,7 @@
 from notchflow.cluster.messages import DATAGRAM_MAX, Envelope, Gossip, Ping, Update, seal
 from notchflow.cluster.model import Life, Record, Settings, Standing, State
 from notchflow.cluster.places import Book
-from standins.ports import lasting_ports
+from standins.ports import free_ports
 
 SECRET = b"s" * 32
 WAIT_S = 10.0
@@ -35,7 +35,7 @@
     def __init__(
         self, secrets: tuple[bytes, bytes] = (SECRET, SECRET), settings: Settings | None = None
     ) -> None:
-        self.ports = lasting_ports(2)
+        self.ports = free_ports(2)
         self.told: list[Tell] = []
         self.edges = [self.edge(number, secrets[number], settings or Settings()) for number in (0, 1)]
 
@@ -97,7 +97,7 @@
         async with Pair() as pair:
             pair.edges[0].book = Book({"p1": pair.at(1)})
             await pair.until(pair.whole)
-            old, new_port = pair.edges[1], lasting_ports(1)[0]
+            old, new_port = pair.edges[1], free_ports(1)[0]
             me = Record("p1", Life(11, 1), 0, State.ALIVE, f"127.0.0.1:{new_port}", "1")
             core = Members(me, ("p0", "p1"), Settings(), random.Random(3), [pair.at(0)])
             new = Edge(
@@ -153,7 +153,7 @@
 
     async def test() -> None:
         async with Pair() as pair:
-            ports = lasting_ports(2)
+            ports = free_ports(2)
             for number, port in enumerate(ports):
                 me = Record(f"q{number}", Life(10, number), 0, State.ALIVE, f"127.0.0.1:{port}", "1")
                 seeds = [pair.at(0), f"127.0.0.1:{ports[0]}", f"127.0.0.1:{ports[1]}"]
