A request that lies unread is answered where its silent connection was to be closed

Cause: Client.close_if_over closed without a look at what had come; a lingering close reads it and drops it. Front._let_go and close_idle looked, this place did not.

--- a/notchflow/net/client.py
+++ b/notchflow/net/client.py
@@ -381,6 +381,15 @@
                 self._fault(408, "a request that came too slowly")
                 self._step()
             else:
-                self.close()
+                self._close_silent(now - self.due_since)
         elif not busy and quiet > IDLE_MS:
-            self.close()
+            self._close_silent(quiet)
+
+    def _close_silent(self, silent_ms: float) -> None:
+        """Closes a connection on which no request comes, unless one has come and lies unread."""
+        if self.closed_at < math.inf or not self.silent():
+            return
+        assert self.transport is not None
+        peer = self.transport.get_extra_info("peername")
+        log.info("a client's connection ends: no request for %.0f ms, from %s", silent_ms, peer)
+        self.close()
--- a/tests/crossings/test_close.py
+++ b/tests/crossings/test_close.py
@@ -68,6 +68,25 @@
     run(test())
 
 
+@pytest.mark.parametrize("asked_before", [False, True])
+def test_a_request_that_lies_unread_as_its_silent_connection_is_to_end_is_answered(
+    asked_before: bool,
+) -> None:
+    """Guards against a first or further request that is dropped by the close of an idle connection."""
+
+    async def test() -> None:
+        async with Rig() as rig:
+            raw = await resting(rig) if asked_before else Raw(rig)
+            await until(lambda: rig.host.front.idle)
+            raw.send(ASK)  # it is there, and nothing has read it
+            rig.host.front.sweep(rig.host.clock.now() + downstream.IDLE_MS + 1.0)
+            assert (await raw.read()).startswith(b"HTTP/1.1 200")
+            raw.sock.close()
+            await all_over(rig)
+
+    run(test())
+
+
 def test_a_request_that_comes_after_the_close_is_not_sent_on_and_sees_an_end_not_a_reset() -> None:
     async def test() -> None:
         async with Rig() as rig:
