Rig: a record of each lost request's connection; stand-in clients keep no unused one

Fix: it is closed; an answer that asks for the connection's end is heeded.

New: ConnectionRecord (opened, first and last byte, who ended it, by the client's clock), `lost` in the rig's history, the instances' logs with a failed play; Holds, which stops the rig at drawn steps.

--- a/notchflow/faults/rig.py
+++ b/notchflow/faults/rig.py
@@ -26,8 +26,10 @@
 from notchflow.hosting.fleet import Fleet, Instance, Ports
 from notchflow.tenancy.model import Limits
 from standins.box import Box, Execution, Work
+from standins.connections import ConnectionRecord
 from standins.discovery import Registry, member
-from standins.load import Paced
+from standins.holds import no_hold
+from standins.load import Hold, Paced
 from standins.ports import free_ports
 from standins.relay import WHOLE, Law, Mesh
 
@@ -39,6 +41,7 @@
 JOIN_S: Final = 20.0
 SETTLE_S: Final = 20.0  # views that are not equal by then are said not to become so
 CLIENTS_END_S: Final = 3.0
+LOG_SHOWN: Final = 4_000  # bytes
 AT_THE_END_MS: Final = 1_500.0  # what a connection's end may lie off from its process's
 
 
@@ -51,16 +54,24 @@
     agreed_ms: float | None
     asked: int = 0
     broken: list[checks.Broken] = field(default_factory=list)
+    logs: dict[str, str] = field(default_factory=dict)  # the end of each instance's own log
 
 
 class Rig:
     """One play of one schedule."""
 
     def __init__(
-        self, folder: Path, plan: Schedule, rate: float = 0.0, more: str = "", limits: Limits | None = None
+        self,
+        folder: Path,
+        plan: Schedule,
+        rate: float = 0.0,
+        more: str = "",
+        limits: Limits | None = None,
+        hold: Hold = no_hold,
     ) -> None:
-        """`rate`: requests a second at each instance. `limits`: of the one tenant, which are judged."""
-        self.limits = limits
+        """`rate`: requests a second at each instance. `limits`: of the one tenant, which are judged. `hold`:
+        holds this process, with its clients and nodes, up at some of their steps."""
+        self.limits, self.hold = limits, hold
         self.folder, self.plan, self.rate, self.more = folder, plan, rate, more
         self.active: dict[int, Any] = {}  # faults of links that hold now
         self.off: set[int] = set()  # flaps in their whole half
@@ -118,7 +129,8 @@
             ]
         )
         asked = sum(line["what"] == "answer" for line in lines)
-        return Outcome(lines, bounds, agreed, asked, self._judge(lines, bounds))
+        logs = {name: one.log[-LOG_SHOWN:] for name, one in self.fleet.instances.items()}
+        return Outcome(lines, bounds, agreed, asked, self._judge(lines, bounds), logs)
 
     def _judge(self, lines: list[Line], bounds: checks.Bounds) -> list[checks.Broken]:
         """The rules that hold whatever the schedule was."""
@@ -151,7 +163,7 @@
         stack.callback(registry.stop)
         for number in range(BOXES):
             box = Box(f"box-{number + 1}", Work(0.002, 4, 128))
-            box.watch = self._ran
+            box.watch, box.hold = self._ran, self.hold
             await box.start()
             stack.callback(box.stop)
             await registry.put(member(box.name, box.address))
@@ -180,8 +192,11 @@
         def observe(label: str, status: int, ms: float, box: str) -> None:
             self._note("answer", id=label, instance=one.name, status=status, ms=round(ms, 1))
 
+        def lost(label: str, record: ConnectionRecord) -> None:
+            self._note("lost", id=label, instance=one.name, **record.fields())
+
         rate = self.rate if tenant == TENANT else CHANGED_RATE
-        paced = Paced(one.ports.clients, rate, draw, 32, observe)
+        paced = Paced(one.ports.clients, rate, draw, 32, observe, lost, self.hold)
         self.paced.append(paced)
         await paced.run(3_600.0)
 
@@ -196,9 +211,8 @@
             for asker in paced.all:
                 if asker.busy:
                     self._note("answer", id=asker.label, instance="nobody", status=0, ms=-1)
-                if asker.transport is not None:
-                    asker.busy = False
-                    asker.transport.close()
+                asker.busy = False
+                asker.close()
 
     async def _bounds(self) -> checks.Bounds:
         views = await self.fleet.views()
@@ -308,7 +322,9 @@
 
     # -- processes
     def _spawn(self, one: Instance) -> None:
+        self.hold("before a start")
         one.spawn()
+        self.hold("after a start")
         assert one.process is not None
         self._note("started", subject=one.name, pid=one.process.pid)
 
@@ -349,7 +365,9 @@
                 continue
             assert one.process is not None
             self._note("terminated", subject=one.name, pid=one.process.pid)
+            self.hold("before SIGTERM")
             one.terminate()
+            self.hold("after SIGTERM")
             await one.ended()
             self._note("ended", subject=one.name, pid=one.process.pid)
             self._spawn(one)
--- a/standins/box.py
+++ b/standins/box.py
@@ -11,6 +11,8 @@
 
 from httptools import HttpParserError, HttpRequestParser
 
+from standins.holds import no_hold
+
 BACKLOG = 1_024  # a proxy that starts may dial as often as it has clients
 QUEUE_MAX = 512  # requests waiting for a core; more are turned away, as a box does
 
@@ -44,6 +46,7 @@
         self.executions: Counter[tuple[str, str, str]] = Counter()
         self.watch: Callable[[Execution, dict[bytes, bytes], bytes], None] | None = None
         self.heard: Callable[[str], None] | None = None  # told the X-Call-Id of each request that has come
+        self.hold: Callable[[str], None] = no_hold
         self.busy = 0
         self.queue: deque[Callable[[], None]] = deque()
         self.open: set[asyncio.Transport] = set()
@@ -111,6 +114,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.box.open.add(self.transport)
+        self.box.hold("accepted")
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self.transport is not None:
@@ -118,6 +122,7 @@
         self.transport = None
 
     def data_received(self, data: bytes) -> None:
+        self.box.hold("before a node reads")
         try:
             self.parser.feed_data(data)
         except HttpParserError:
--- a/standins/load.py
+++ b/standins/load.py
@@ -11,10 +11,16 @@
 
 from httptools import HttpResponseParser
 
+from standins.connections import ConnectionRecord, End
+from standins.holds import no_hold
+
 # The bytes of the next request, and what it is about (any label that the caller reports by).
 Draw = Callable[[], tuple[bytes, str]]
 # Told of each answer, instead of the tally: its label, status, milliseconds, and the box that gave it.
 Observe = Callable[[str, int, float, str], None]
+# Told of a connection whose request got no answer, with that request's label.
+Lost = Callable[[str, ConnectionRecord], None]
+Hold = Callable[[str], None]
 
 
 @dataclass(slots=True)
@@ -52,8 +58,10 @@
 class Asker(asyncio.Protocol):
     """One connection of a client: a request at a time."""
 
-    def __init__(self, tally: Tally) -> None:
-        self.tally = tally
+    def __init__(self, tally: Tally, hold: Hold = no_hold) -> None:
+        self.tally, self.hold = tally, hold
+        self.record = ConnectionRecord(0, 0.0)
+        self.lost: Lost | None = None
         self.parser = HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
         self.label = ""
@@ -62,17 +70,34 @@
         self.observe: Observe | None = None
         self.box = ""
         self.busy = False
+        self.keeps = True  # the last answer did not ask for the connection's end
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        port = int(transport.get_extra_info("sockname")[1])
+        self.record = ConnectionRecord(port, time.monotonic())
+        self.hold("connected")
 
     def ask(self, data: bytes, label: str, asked_at: float | None = None) -> None:
         assert self.transport is not None
         self.label, self.busy = label, True
         self.asked_at = time.monotonic() if asked_at is None else asked_at
+        self.hold("before a request")
+        self.record.sent()
         self.transport.write(data)
+        self.hold("after a request")
+
+    def eof_received(self) -> None:
+        self.record.ended(End.BY_PEER)
+
+    def close(self) -> None:
+        """Ends the connection from this side."""
+        if self.transport is not None:
+            self.record.ended(End.BY_CLIENT)
+            self.transport.close()
 
     def data_received(self, data: bytes) -> None:
+        self.record.received()
         self.parser.feed_data(data)
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -83,7 +108,7 @@
             self.box = value.decode("latin-1")
 
     def on_message_complete(self) -> None:
-        status = self.parser.get_status_code()
+        status, self.keeps = self.parser.get_status_code(), self.parser.should_keep_alive()
         took = (time.monotonic() - self.asked_at) * 1e3
         if self.observe is None:
             self.tally.add(self.label, status, took)
@@ -95,17 +120,21 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        self.record.ended(End.BY_PEER if exc is None else End.BY_RESET)
         if self.busy:
             self.busy = False
             self.tally.lost += 1
+            if self.lost is not None:
+                self.lost(self.label, self.record)
             if self.observe is not None:
                 self.observe(self.label, 0, (time.monotonic() - self.asked_at) * 1e3, self.box)
             if self.answered is not None:
                 self.answered(self)
 
 
-async def _connect(port: int, tally: Tally) -> Asker:
-    _, asker = await asyncio.get_running_loop().create_connection(lambda: Asker(tally), "127.0.0.1", port)
+async def _connect(port: int, tally: Tally, hold: Hold = no_hold) -> Asker:
+    loop = asyncio.get_running_loop()
+    _, asker = await loop.create_connection(lambda: Asker(tally, hold), "127.0.0.1", port)
     return asker
 
 
@@ -122,8 +151,7 @@
             asker.ask(*draw())
             return
         running -= 1
-        if asker.transport is not None:
-            asker.transport.close()
+        asker.close()
         if not running:
             over.set()
 
@@ -147,8 +175,10 @@
         draw: Draw,
         connections_max: int = 256,
         observe: Observe | None = None,
+        lost: Lost | None = None,
+        hold: Hold = no_hold,
     ) -> None:
-        self.observe = observe
+        self.observe, self.lost, self.hold = observe, lost, hold
         self.port, self.per_second, self.draw = port, per_second, draw
         self.connections_max = connections_max
         self.tally = Tally()
@@ -173,8 +203,7 @@
             await asyncio.sleep(0.01)
         self.tally.lost += len(self.waiting) + sum(a.busy for a in self.all)
         for asker in self.all:
-            if asker.transport is not None:
-                asker.transport.close()
+            asker.close()
         self.tally.span_s = seconds
         return self.tally
 
@@ -191,6 +220,7 @@
             if asker.transport is not None and not asker.transport.is_closing():
                 asker.ask(data, label, now)
                 return
+            self.all.discard(asker)
         self.waiting.append((data, label, now))
         if len(self.all) + self.connecting < self.connections_max:
             self.connecting += 1
@@ -200,16 +230,21 @@
 
     async def _grow(self) -> None:
         try:
-            asker = await _connect(self.port, self.tally)
+            asker = await _connect(self.port, self.tally, self.hold)
         except OSError:
             return
         finally:
             self.connecting -= 1
-        asker.answered, asker.observe = self._answered, self.observe
+        asker.answered, asker.observe, asker.lost = self._answered, self.observe, self.lost
+        if not self.waiting:  # whom it was for was served; servers end connections that say nothing
+            asker.close()
+            return
         self.all.add(asker)
-        self._answered(asker)
+        asker.ask(*self.waiting.pop(0))
 
     def _answered(self, asker: Asker) -> None:
+        if not asker.keeps:
+            asker.close()
         if asker.transport is None or asker.transport.is_closing():
             self.all.discard(asker)
             if self.waiting:  # whoever waits must not wait for a connection that is gone
--- a/tests/faults/test_processes.py
+++ b/tests/faults/test_processes.py
@@ -14,12 +14,15 @@
 
 from notchflow.cluster.histories import table
 from notchflow.faults import checks
-from notchflow.faults.rig import SLACK_MS, Outcome, Rig
+from notchflow.faults.rig import AT_THE_END_MS, SLACK_MS, Outcome, Rig
 from notchflow.faults.schedule import Schedule, draw
 from notchflow.tenancy.model import Limits
+from standins.holds import Holds
 
 LONG = bool(os.environ.get("NOTCHFLOW_LONG"))
 SEEDS = range(1, 31) if LONG else (11,)
+HELD_SEEDS = range(1_000, 1_050) if LONG else (1_005,)
+HELD_SHARE = 0.005  # of the steps: some holds of 0.15 s in a play
 RATE = 20.0
 
 
@@ -27,11 +30,18 @@
     folder: Path, plan: Schedule, rate: float = RATE, limits: Limits | None = None, more: str = ""
 ) -> Outcome:
     outcome = asyncio.run(Rig(folder, plan, rate, more, limits).play())
-    assert outcome.broken == [], "\n".join([plan.toml(), *table(outcome.lines, 60)])
+    assert outcome.broken == [], told(plan, outcome)
     assert served(outcome) > (0.5 if limits is None else 0.1) * outcome.asked > 0
     return outcome
 
 
+def told(plan: Schedule, outcome: Outcome) -> str:
+    """What is needed to see why a play failed."""
+    lost = [line for line in outcome.lines if line["what"] == "lost"]
+    logs = [f"{name}: {text}" for name, text in outcome.logs.items()]
+    return "\n".join([plan.toml(), *table(outcome.lines, 60), *table(lost), *logs])
+
+
 def served(outcome: Outcome) -> int:
     return sum(line["what"] == "answer" and line["status"] == 200 for line in outcome.lines)
 
@@ -98,6 +108,14 @@
     assert {line["status"] for line in during if line["what"] == "answer"} == {200, 503}
 
 
+@pytest.mark.parametrize("seed", HELD_SEEDS)
+def test_nothing_is_lost_where_clients_and_nodes_are_held_up(tmp_path: Path, seed: int) -> None:
+    """Guards against requests lost to a connection that ends between a client's look at it and its write."""
+    plan = planned(3, 3.5, {"kind": "disk", "who": ["p2"], "at_s": 1.0, "for_s": 2.0})
+    outcome = asyncio.run(Rig(tmp_path, plan, RATE, "[effects]", hold=Holds(seed, HELD_SHARE)).play())
+    assert checks.answered_once(outcome.lines, AT_THE_END_MS) == [], told(plan, outcome)
+
+
 @pytest.mark.skipif(not LONG, reason="what is shown there is that the check is no empty one")
 def test_limits_of_each_instance_by_itself_are_found_to_be_over(tmp_path: Path) -> None:
     limits = Limits(rate_per_s=50.0, burst=25.0)
