Near the limit on descriptors dials wait, and idle clients stay where anything else can give way

Callers saw: a request on a kept connection ended without an answer, as its idle connection was closed for another's dial or client.

Failed before: `test_a_dial_waits...` and `test_a_new_client_takes...` (1 of 1 each).

Cause: Desk._spare closed an idle client for a dial; Front._room closed one for a new client with idle connections to nodes beside, and once more in each turn, before it was known whether anybody waits.

Fix: a dial waits 100 ms for a descriptor that comes free, then as before; a new client takes that of an idle connection to a node; the listener is asked before room is made.

--- a/notchflow/net/attempt.py
+++ b/notchflow/net/attempt.py
@@ -24,6 +24,8 @@
 
     def outcome(self, attempt: Attempt, status: Status, answer: Answer | None) -> None: ...
 
+    def await_descriptor(self, attempt: Attempt) -> None: ...
+
     def stream_started(self, attempt: Attempt, answer: Answer) -> bool: ...
 
 
@@ -138,8 +140,12 @@
         item = self.open
         return not (self.over or item.done or now >= self.before or item.call.client.gone(now))
 
+    def no_descriptor(self) -> None:
+        """There is none to dial with: it waits for one."""
+        self.host.await_descriptor(self)
+
     def unsent(self, _: object = None) -> None:
-        """There was no descriptor to dial with, or it was too late once there was a connection."""
+        """No descriptor came free in time, or it was too late once there was a connection."""
         self._end(Status.MOOT)
 
     def abandon(self, status: Status) -> None:
--- a/notchflow/net/connection.py
+++ b/notchflow/net/connection.py
@@ -95,6 +95,9 @@
     def wanted(self, now: float) -> bool:
         """Whether it may still begin: asked at a new connection, before the first byte goes out."""
 
+    def no_descriptor(self) -> None:
+        """There is none to dial with."""
+
     def unsent(self, _: object = None) -> None:
         """Nothing of it went out, and the node is not to blame."""
 
--- a/notchflow/net/desk.py
+++ b/notchflow/net/desk.py
@@ -48,6 +48,7 @@
 
 OK, MOOT = Status.OK, Status.MOOT  # looked up for every request
 LATE_MS = 2.0
+DESCRIPTOR_WAIT_MS = 100.0
 
 
 class Desk:
@@ -80,6 +81,7 @@
         self.armed: asyncio.TimerHandle | None = None
         self.armed_for = float("inf")
         self.used = 0
+        self.starved: dict[Attempt, None] = {}  # dials that wait for a descriptor, in order
         self.held = 0
         self.answer_by = float("inf")  # no request is held longer than this, once the process is to end
         self.figures = Figures()
@@ -123,23 +125,53 @@
 
     # -- budgets
     def descriptor(self) -> bool:
-        if self.used >= self.descriptors and not self._spare():
+        """Takes a descriptor for a dial, if there is one or an idle connection to a node can give its own."""
+        if self.used >= self.descriptors and not self.spare():
             return False
         self.used += 1
         return True
 
     def freed(self) -> None:
+        """A descriptor has been given back: dials that wait come before new clients."""
         self.used -= 1
+        if self.starved:
+            self.soon(self._resume_dials, None)
         for front in self.fronts:
             front.resume()
 
-    def _spare(self) -> bool:
+    def spare(self) -> bool:
+        """Closes the connection to a node that has been idle for longest, if there is one."""
         idle = [p for p in self.pools.values() if p.idle]
-        if idle:
-            pool = min(idle, key=lambda p: p.idle[0].idle_since)
-            pool.idle.pop(0).close()
-            return True
-        return any(front.close_idle() for front in self.fronts)
+        if not idle:
+            return False
+        pool = min(idle, key=lambda p: p.idle[0].idle_since)
+        pool.idle.pop(0).close()
+        return True
+
+    def await_descriptor(self, attempt: Attempt) -> None:
+        """A dial waits for the next descriptor: to close a client's connection might lose its request."""
+        self.starved[attempt] = None
+        self.at(self.clock.now() + DESCRIPTOR_WAIT_MS, self._still_starved, attempt)
+
+    def _still_starved(self, attempt: Attempt) -> None:
+        """None has come free for a while: an idle client gives way, or the attempt is over."""
+        if attempt not in self.starved:
+            return
+        if any(front.close_idle() for front in self.fronts):
+            self.await_descriptor(attempt)
+            return
+        del self.starved[attempt]
+        attempt.unsent()
+
+    def _resume_dials(self, _: object) -> None:
+        while self.starved and self.used < self.descriptors:
+            attempt = next(iter(self.starved))
+            del self.starved[attempt]
+            self._begin(attempt)
+
+    def starving(self) -> bool:
+        """Whether dials wait for descriptors."""
+        return bool(self.starved)
 
     # -- the module
     def tell(self, event: Event) -> None:
--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -44,6 +44,10 @@
     def freed(self) -> None:
         """Nothing was counted."""
 
+    def starving(self) -> bool:
+        """These descriptors are nobody else's."""
+        return False
+
 
 class Discovery:
     """Carries out what the watch decides: calls on sockets, lists to the host, failures to the module."""
@@ -197,6 +201,10 @@
     def wanted(self, now: float) -> bool:
         return not self.over
 
+    def no_descriptor(self) -> None:
+        """Cannot be: its descriptors are kept apart."""
+        self.unsent()
+
     def unsent(self, _: object = None) -> None:
         self._end(None, "not sent")
 
--- a/notchflow/net/exchange.py
+++ b/notchflow/net/exchange.py
@@ -271,6 +271,9 @@
 
     def freed(self) -> None: ...
 
+    def starving(self) -> bool:
+        """Whether dials wait for descriptors: an idle connection would keep one from them."""
+
 
 class Teller(Dialler, Protocol):
     """What discovery needs of the host."""
@@ -309,6 +312,9 @@
 
     def freed(self) -> None: ...
 
+    def spare(self) -> bool:
+        """Closes the connection to a node that has been idle for longest, if there is one."""
+
     def informed(self) -> bool:
         """Whether clients may come: the list is as new as may be expected of a new process."""
 
--- a/notchflow/net/front.py
+++ b/notchflow/net/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 from collections.abc import Iterable
 from itertools import islice
@@ -72,9 +73,19 @@
     def _room(self) -> bool:
         host = self.host
         count = len(self.clients) + len(self.adopting)
-        if host.used < host.descriptors and count < SERVED_SHARE * host.descriptors_whole:
+        few = count < SERVED_SHARE * host.descriptors_whole
+        if few and host.used < host.descriptors:
             return True
-        return self.close_idle()
+        if not self._somebody_waits():
+            return True
+        return (few and host.spare()) or self.close_idle()
+
+    def _somebody_waits(self) -> bool:
+        """Whether there is a connection to accept: no room is made for none."""
+        assert self.listener is not None
+        poll = select.poll()
+        poll.register(self.listener, select.POLLIN)
+        return bool(poll.poll(0))
 
     def close_idle(self) -> bool:
         """Makes room by closing a connection that is surely not about to carry a request, if there is one."""
--- a/notchflow/net/pool.py
+++ b/notchflow/net/pool.py
@@ -40,7 +40,7 @@
                 connection.start(exchange, now, now - connection.idle_since)
                 return
         if not self.host.descriptor():
-            self.host.soon(exchange.unsent, None)
+            exchange.no_descriptor()
             return
         connection = Connection(self)
         task = self.host.loop.create_task(self._dial(connection))
@@ -133,7 +133,8 @@
                 return
 
     def release(self, connection: Connection) -> None:
-        if self.retired:
+        """An exchange is over: the connection rests, unless a dial elsewhere waits for its descriptor."""
+        if self.retired or self.host.starving():
             connection.close()
             return
         connection.idle_since = self.host.clock.now()  # its age decides whether and by when it is used again
--- a/tests/crossings/test_descriptors.py
+++ b/tests/crossings/test_descriptors.py
@@ -6,8 +6,13 @@
 import asyncio
 import socket
 
+import pytest
+
+from notchflow.net import desk
+from notchflow.net.front import STILL_MS
 from tests.crossings.forced import all_over
-from tests.rig import Rig, run, serve_value, until
+from tests.crossings.test_client_gone import Gate
+from tests.rig import Client, Rig, Seen, run, serve_value, until
 
 SOCKETS = 64  # 40 for clients and nodes
 
@@ -37,3 +42,78 @@
             await all_over(rig)
 
     run(test())
+
+
+async def short_of_descriptors(rig: Rig) -> list[Client]:
+    """Three clients that have been still for long; the first asks again on the only connection to the node,
+    and no descriptor is left for a second one."""
+    clients = [await rig.connect() for _ in range(3)]
+    for client in clients:
+        assert (await client.ask(path="/api/00aa")).status == 200
+    for known in rig.host.front.clients:
+        known.active_at -= STILL_MS
+    clients[0].send(path="/api/00aa?held")
+    await until(lambda: rig.sent == 4)
+    rig.host.descriptors = rig.host.used
+    return clients
+
+
+def held_by(gate: Gate) -> Rig:
+    async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        await (gate if "held" in seen.line else serve_value)(seen, writer)
+
+    return Rig(script)
+
+
+def test_a_dial_waits_for_a_descriptor_and_takes_none_of_a_client_s(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against requests lost as their idle connection was closed for a dial."""
+    monkeypatch.setattr(desk, "DESCRIPTOR_WAIT_MS", 60_000.0)
+
+    async def test() -> None:
+        gate = Gate(serve_value)
+        async with held_by(gate) as rig:
+            clients = await short_of_descriptors(rig)
+            clients[1].send(path="/api/00aa")
+            await until(rig.host.starving)
+            gate.open.set()
+            answers = [await client.receive() for client in clients[:2]]
+            assert [seen and seen.status for seen in answers] == [200, 200]
+            assert len(rig.host.front.clients) == 3 and rig.host.used <= rig.host.descriptors
+            await all_over(rig)
+
+    run(test())
+
+
+def test_an_idle_client_gives_way_where_no_descriptor_comes_free(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against dials that wait for good beside clients that ask for nothing."""
+    monkeypatch.setattr(desk, "DESCRIPTOR_WAIT_MS", 0.0)
+
+    async def test() -> None:
+        gate = Gate(serve_value)
+        async with held_by(gate) as rig:
+            clients = await short_of_descriptors(rig)
+            clients[1].send(path="/api/00aa")
+            seen = await clients[1].receive()
+            assert seen is not None and seen.status == 200
+            assert len(rig.host.front.clients) == 2
+            gate.open.set()
+            await all_over(rig)
+
+    run(test())
+
+
+def test_a_new_client_takes_the_descriptor_of_an_idle_connection_to_a_node() -> None:
+    """Guards against requests lost as their idle connection was closed for another client's."""
+
+    async def test() -> None:
+        async with Rig() as rig:
+            client = await rig.connect()
+            assert (await client.ask()).status == 200
+            for known in rig.host.front.clients:
+                known.active_at -= STILL_MS
+            rig.host.descriptors = rig.host.used
+            assert (await rig.ask(path="/health/ready")).status == 200
+            assert (await client.ask()).status == 200, "it is still there"
+            await all_over(rig)
+
+    run(test())
