--- a/notchflow/net/arrival.py
+++ b/notchflow/net/arrival.py
@@ -56,7 +56,8 @@
     idle: dict[Any, None]
     lingering: dict[Any, None]
 
-    def lost(self, client: Any) -> None: ...
+    def lost(self, client: Any) -> None:
+        """A client's connection has ended."""
 
 
 class Arrival(asyncio.Protocol):
@@ -122,6 +123,7 @@
 
     # -- bytes
     def data_received(self, data: bytes) -> None:
+        """Bytes have come: parses them, then takes up the next request."""
         self.active_at = self.host.clock.turn()
         if self.closing or self.parser is None:
             return  # what follows a fault is read and dropped, so that its answer is not lost to a reset
@@ -162,15 +164,18 @@
 
     # -- the parser's callbacks
     def on_message_begin(self) -> None:
+        """Parser: a request begins."""
         self.arriving = self._call()
         self.in_head, self.head_size, self.framing, self.chunks = True, 0, 0, 0
         self.due_since = self.active_at
 
     def on_url(self, url: bytes) -> None:
+        """Parser: a part of the target."""
         if self.arriving is not None:
             self.arriving.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser: a field of the head, or a trailer."""
         call, low = self.arriving, name.lower()
         if call is None or not self.in_head:
             return  # trailers
@@ -186,6 +191,7 @@
         call.passed.append(b"%b: %b\r\n" % (name, value))
 
     def on_headers_complete(self) -> None:
+        """Parser: the head is whole."""
         call, parser = self.arriving, self.parser
         if call is None or parser is None:
             return
@@ -227,6 +233,7 @@
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
+        """Parser: a part of the body."""
         call = self.arriving
         if call is None:
             return
@@ -320,9 +327,11 @@
             self.transport.resume_reading()
 
     def on_chunk_header(self) -> None:
+        """Parser: a chunk begins; chunks are counted for the bound on framing."""
         self.chunks += 1
 
     def on_message_complete(self) -> None:
+        """Parser: the request is whole."""
         call, self.arriving = self.arriving, None
         self.due_since = None
         if call is None:
--- a/notchflow/net/attempt.py
+++ b/notchflow/net/attempt.py
@@ -22,11 +22,14 @@
 class Courier(Dialler, Protocol):
     """What attempts need of the host."""
 
-    def outcome(self, attempt: Attempt, status: Status, answer: Answer | None) -> None: ...
+    def outcome(self, attempt: Attempt, status: Status, answer: Answer | None) -> None:
+        """An attempt has ended."""
 
-    def await_descriptor(self, attempt: Attempt) -> None: ...
+    def await_descriptor(self, attempt: Attempt) -> None:
+        """An attempt waits for a descriptor to dial with."""
 
-    def stream_started(self, attempt: Attempt, answer: Answer) -> bool: ...
+    def stream_started(self, attempt: Attempt, answer: Answer) -> bool:
+        """A long answer begins; whether it is this one that the client gets."""
 
 
 class Attempt:
@@ -105,6 +108,7 @@
             self.open.call.client.flow(not on)
 
     def stream(self, answer: Answer) -> bool:
+        """An answer too long to be held has begun; whether it goes on to the client."""
         if answer.code != 200 or self.unfinished:
             self._end(_status(answer, not self.unfinished))
             return False
@@ -125,6 +129,7 @@
             self.host.outcome(self, _status(answer, sent), answer)
 
     def failed(self, sent: bool) -> None:
+        """Its connection broke. `sent`: the request's last byte had been written."""
         self._end(Status.RESET if sent else Status.CONNECT_FAILED)
 
     def written(self) -> None:
@@ -177,6 +182,7 @@
 
 
 def load_report(answer: Answer, names: Sequence[str]) -> dict[str, float] | None:
+    """The figures of a node's load report under the module's names; none where it has no readable one."""
     raw = answer.fields.get(b"x-load-report")
     if raw is None or not names:
         return None
--- a/notchflow/net/client.py
+++ b/notchflow/net/client.py
@@ -51,6 +51,7 @@
 
     # -- the transport's callbacks
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """asyncio: the connection is open."""
         self.transport = cast(asyncio.Transport, transport)
         self.parser = HttpRequestParser(self)
         self.active_at = self.host.clock.turn()
@@ -59,6 +60,7 @@
         self.front.idle[self] = None
 
     def eof_received(self) -> bool:
+        """asyncio: the client sends no more; whether the connection stays open for answers."""
         self.half_closed = True
         if self.closed_at < math.inf:
             return False  # both sides are done
@@ -76,6 +78,7 @@
         return self.lags and bool(self._poll(GONE))
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """asyncio: the connection has ended, and with it every request on it."""
         self.transport = self.parser = None
         self.closing = True
         self.host.held -= self.charged
@@ -91,6 +94,7 @@
         self.front.lost(self)
 
     def pause_writing(self) -> None:
+        """asyncio: the client reads more slowly than its answer comes."""
         self.paused = True
         if self.transport is not None:
             self._charge(self.transport.get_write_buffer_size())
@@ -98,6 +102,7 @@
             self.host.pause(self.current.open, True)
 
     def resume_writing(self) -> None:
+        """asyncio: the client has caught up."""
         self.paused = False
         self.active_at = self.host.clock.turn()
         self._charge(0)
@@ -256,9 +261,11 @@
             call.arrived_at = self.host.clock.now() + ARRIVE_MS + left / BODY_RATE
 
     def serve(self, call: Call, answer: Answer) -> None:
+        """Answers with what a node answered."""
         self._write(call, 200, answer.passed, answer.body, answer.size)
 
     def refuse(self, call: Call, retry_after_ms: float) -> None:
+        """Answers 503: nothing ran. `retry_after_ms`: when to come back, if positive."""
         if self.front.door is not None:
             self._reply(call, self.front.door.refused(retry_after_ms))
             return
@@ -315,6 +322,7 @@
             self.front.idle[self] = None
 
     def begin_stream(self, call: Call, answer: Answer) -> None:
+        """A long answer begins: its head goes out."""
         if self.transport is None:
             return
         self.chunked = answer.length is None and call.chunks_allowed
@@ -345,6 +353,7 @@
             self.transport.write(data)
 
     def end_stream(self, call: Call, whole: bool) -> None:
+        """A long answer has ended; one that is not whole is cut off, so that the client can tell."""
         if self.transport is None:
             return
         if not whole:
@@ -359,6 +368,7 @@
         return ARRIVE_MS + (self.arriving.size / BODY_RATE if self.arriving is not None else 0.0)
 
     def close_if_over(self, now: float) -> None:
+        """Closes the connection where its client is too slow or silent for too long."""
         if self.transport is None:
             return
         if self.stopped_at is not None and not self.closing:  # it is not the client that is slow
--- a/notchflow/net/clock.py
+++ b/notchflow/net/clock.py
@@ -20,4 +20,5 @@
         return self.base + time.monotonic() * 1e3
 
     def turn(self) -> float:
+        """The time at which the loop's present turn began."""
         return self.base + self.loop.time() * 1e3
--- a/notchflow/net/connection.py
+++ b/notchflow/net/connection.py
@@ -49,12 +49,14 @@
         self._judge()
 
     def count(self, age: float | None, broken: bool) -> None:
+        """One use of a connection of this age, none for a new one, and whether it broke."""
         self.uses[0 if age is None else bisect_right(AGES_MS, age)] += 1
         if broken:
             self.breaks[0 if age is None else bisect_right(AGES_MS, age)] += 1
             self._judge()
 
     def fade(self, now: float) -> None:
+        """Halves the counts from time to time, so that what has passed is forgotten."""
         if now >= self.faded_at + FADE_MS:
             self.faded_at = now
             self.uses = [n / 2 for n in self.uses]
@@ -82,15 +84,20 @@
     hold_max: int
     unfinished: bool  # more of the request is to come
 
-    def chunks(self, now: float) -> list[bytes]: ...
+    def chunks(self, now: float) -> list[bytes]:
+        """The request's bytes; `now` tells what is left of its time."""
 
-    def stream(self, answer: Answer) -> bool: ...
+    def stream(self, answer: Answer) -> bool:
+        """An answer too long to be held has begun; whether it is wanted."""
 
-    def streamed(self, data: bytes) -> None: ...
+    def streamed(self, data: bytes) -> None:
+        """A part of such an answer."""
 
-    def answered(self, answer: Answer, sent: bool) -> None: ...
+    def answered(self, answer: Answer, sent: bool) -> None:
+        """A whole answer. `sent`: the request's last byte had been written before."""
 
-    def failed(self, sent: bool) -> None: ...
+    def failed(self, sent: bool) -> None:
+        """The connection broke. `sent`: the request's last byte had been written."""
 
     def wanted(self, now: float) -> bool:
         """Whether it may still begin: asked at a new connection, before the first byte goes out."""
@@ -101,7 +108,8 @@
     def unsent(self, _: object = None) -> None:
         """Nothing of it went out, and the node is not to blame."""
 
-    def written(self) -> None: ...
+    def written(self) -> None:
+        """The request's last byte has gone to the kernel."""
 
     def blocked(self, on: bool) -> None:
         """The node reads more slowly than the request comes, or has caught up."""
@@ -113,11 +121,14 @@
     host: Dialler
     limit: IdleLimit
 
-    def opened(self, connection: Connection) -> None: ...
+    def opened(self, connection: Connection) -> None:
+        """The connection is open."""
 
-    def closed(self, connection: Connection) -> None: ...
+    def closed(self, connection: Connection) -> None:
+        """The connection has ended."""
 
-    def release(self, connection: Connection) -> None: ...
+    def release(self, connection: Connection) -> None:
+        """The connection's exchange is over; it can carry another."""
 
 
 class Connection(asyncio.Protocol):
@@ -163,6 +174,7 @@
 
     # -- the transport's callbacks
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """asyncio: the connection is open. Its owner hears a turn later."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=0)  # so resume_writing tells that the last byte has gone
         self.pool.host.soon(self._opened, None)
@@ -173,10 +185,12 @@
             self.pool.opened(self)
 
     def pause_writing(self) -> None:
+        """asyncio: the node reads more slowly than the request comes."""
         if self.exchange is not None and self.exchange.unfinished:
             self.exchange.blocked(True)
 
     def resume_writing(self) -> None:
+        """asyncio: all that was written has gone to the kernel."""
         if self.exchange is not None and self.exchange.unfinished:
             self.exchange.blocked(False)
         elif not self.sent:
@@ -229,6 +243,7 @@
             self.exchange.written()
 
     def data_received(self, data: bytes) -> None:
+        """asyncio: bytes of the answer."""
         if self.exchange is None or self.parser is None:
             self.close()
             return
@@ -252,12 +267,14 @@
                 self._fail()
 
     def eof_received(self) -> bool:
+        """asyncio: the node sends no more, which ends an answer without a length."""
         if self.exchange is not None and self.delimited and not self.in_head:
             self.surplus = True
             self._finish()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """asyncio: the connection has ended, and with it its exchange."""
         self.transport = None
         self.parser = None  # it holds bound methods of this object
         self.pool.closed(self)
@@ -265,6 +282,7 @@
 
     # -- the exchange
     def start(self, exchange: Exchange, now: float, age: float | None = None) -> None:
+        """Carries an exchange. `age`: for how long the connection was idle, none for a new one."""
         assert self.transport is not None
         if self.parser is None:
             self.parser = HttpResponseParser(self)
@@ -279,10 +297,12 @@
         self._if_sent()
 
     def abandon(self) -> None:
+        """The exchange is given up: its answer is not wanted any more."""
         self.exchange = None
         self.close()
 
     def close(self) -> None:
+        """Ends the connection at once."""
         if self.transport is not None:
             self.transport.abort()
 
@@ -312,10 +332,12 @@
 
     # -- the parser's callbacks
     def on_message_begin(self) -> None:
+        """Parser: an answer begins."""
         if self.complete:
             self.surplus = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser: a field of the head."""
         if not self.in_head or self.complete:
             return  # trailers, or a second answer that nobody asked for
         low, answer = name.lower(), self.answer
@@ -325,6 +347,7 @@
             answer.passed.append(b"%b: %b\r\n" % (name, value))
 
     def on_headers_complete(self) -> None:
+        """Parser: the head is whole."""
         if self.complete or self.parser is None or self.exchange is None:
             return
         code = self.parser.get_status_code()
@@ -352,6 +375,7 @@
             self._stream()
 
     def on_body(self, data: bytes) -> None:
+        """Parser: a part of the body."""
         if self.complete or self.exchange is None:
             return
         if self.streaming:
@@ -364,6 +388,7 @@
             self._stream()
 
     def on_message_complete(self) -> None:
+        """Parser: the answer is whole."""
         if not self.in_head and self.parser is not None and self.exchange is not None:
             self.complete = True
             self.keep = self.parser.should_keep_alive()  # the parser forgets it with this call
--- a/notchflow/net/console.py
+++ b/notchflow/net/console.py
@@ -90,9 +90,11 @@
         return b"" if self.due is None else written(self.due)
 
     def on_url(self, url: bytes) -> None:
+        """Parser: a part of the target."""
         self.url += url
 
     def on_message_complete(self) -> None:
+        """Parser: the call is whole and is answered."""
         if self.due is not None or self.parser is None:
             return
         path = self.url.partition(b"?")[0].decode("latin-1")
@@ -103,12 +105,14 @@
             self.due = Reply(503)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """asyncio: the caller's connection is open."""
         self.transport = cast(asyncio.Transport, transport)
         if self not in self.console.callers:
             self.drop()  # room was made for others meanwhile
         self.end(self.unsent)
 
     def data_received(self, data: bytes) -> None:
+        """asyncio: a part of a call."""
         self.end(self.feed(data))
 
     def end(self, data: bytes) -> None:
@@ -131,6 +135,7 @@
             self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """asyncio: the caller has gone."""
         self.transport = self.parser = None
         self.console.callers.pop(self, None)
 
--- a/notchflow/net/desk.py
+++ b/notchflow/net/desk.py
@@ -95,6 +95,7 @@
         return handle
 
     def soon(self, call: Callable[..., None], argument: Any) -> None:
+        """Calls back in the loop's next turn."""
         self.loop.call_soon(call, argument)
 
     def once_read(self, call: Callable[..., None], argument: Any) -> None:
@@ -391,6 +392,7 @@
         self.tell(ClientGone(item.id))
 
     def stream_started(self, attempt: Attempt, answer: Answer) -> bool:
+        """A long answer begins; whether it is this one that the client gets."""
         item = attempt.open
         if item.done or item.streaming is not None:
             return False
@@ -400,6 +402,7 @@
         return True
 
     def pause(self, item: Open, paused: bool) -> None:
+        """A client reads a long answer too slowly, or has caught up: its node waits or goes on."""
         connection = item.streaming.connection if item.streaming else None
         if connection is not None:
             if not paused:
--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -66,10 +66,12 @@
 
     @property
     def revision(self) -> int | None:
+        """The revision of the list that is known; none before the first."""
         return self.watching.revision
 
     @revision.setter
     def revision(self, revision: int) -> None:
+        """The revision of the list that is known; none before the first."""
         self.watching.revision = revision
 
     @property
@@ -178,6 +180,7 @@
         return [self.data]
 
     def stream(self, answer: Answer) -> bool:
+        """An answer too long to be a list ends the call."""
         self._end(None, f"an answer of over {LIST_MAX} bytes")
         return False
 
@@ -185,6 +188,7 @@
         """Never called: nothing of discovery's is streamed."""
 
     def answered(self, answer: Answer, sent: bool) -> None:
+        """A whole answer: a list, or what is wrong with it."""
         if answer.code != 200:
             self._end(None, f"status {answer.code}")
             return
@@ -196,9 +200,11 @@
         self._end(listing, "")
 
     def failed(self, sent: bool) -> None:
+        """The connection broke or did not come up."""
         self._end(None, "connection lost" if sent else "could not connect")
 
     def wanted(self, now: float) -> bool:
+        """Whether the call is still to be made."""
         return not self.over
 
     def no_descriptor(self) -> None:
@@ -206,6 +212,7 @@
         self.unsent()
 
     def unsent(self, _: object = None) -> None:
+        """The call was not made."""
         self._end(None, "not sent")
 
     def written(self) -> None:
--- a/notchflow/net/exchange.py
+++ b/notchflow/net/exchange.py
@@ -71,19 +71,26 @@
 
     paused: bool
 
-    def serve(self, call: Call, answer: Answer) -> None: ...
+    def serve(self, call: Call, answer: Answer) -> None:
+        """Answers with what a node answered."""
 
-    def refuse(self, call: Call, retry_after_ms: float) -> None: ...
+    def refuse(self, call: Call, retry_after_ms: float) -> None:
+        """Answers that nothing ran. `retry_after_ms`: when to come back, if positive."""
 
-    def fail(self, call: Call, status: int) -> None: ...
+    def fail(self, call: Call, status: int) -> None:
+        """Answers that the request failed, with no promise."""
 
-    def answer(self, call: Call, reply: Reply) -> None: ...
+    def answer(self, call: Call, reply: Reply) -> None:
+        """Answers with a reply of the proxy's own."""
 
-    def begin_stream(self, call: Call, answer: Answer) -> None: ...
+    def begin_stream(self, call: Call, answer: Answer) -> None:
+        """A long answer begins."""
 
-    def stream(self, data: bytes) -> None: ...
+    def stream(self, data: bytes) -> None:
+        """A part of a long answer."""
 
-    def end_stream(self, call: Call, whole: bool) -> None: ...
+    def end_stream(self, call: Call, whole: bool) -> None:
+        """A long answer has ended, whole or cut off."""
 
     def flow(self, on: bool) -> None:
         """Whether more of the body that is arriving is wanted now."""
@@ -107,9 +114,11 @@
     started: bool
 
     @property
-    def connection(self) -> Link | None: ...
+    def connection(self) -> Link | None:
+        """The connection that it goes on, once there is one."""
 
-    def abandon(self, status: Status) -> None: ...
+    def abandon(self, status: Status) -> None:
+        """Gives the attempt up, with this outcome."""
 
     def more(self, pieces: Sequence[bytes]) -> None:
         """Further pieces of the body."""
@@ -204,6 +213,7 @@
         self.reply: Reply | None = None  # settled at the end of the head: the body is read and dropped
 
     def release(self) -> None:
+        """Lets go of the body and of the bytes that are counted for it."""
         if self.charged:
             self.ledger.held -= self.charged
             self.charged = 0
@@ -263,13 +273,17 @@
     clock: Clock
     timers: Calendar
 
-    def at(self, due: float, call: Callable[..., None], argument: Any = None) -> Handle: ...
+    def at(self, due: float, call: Callable[..., None], argument: Any = None) -> Handle:
+        """Calls back at a time, in milliseconds on the clock."""
 
-    def soon(self, call: Callable[..., None], argument: Any) -> None: ...
+    def soon(self, call: Callable[..., None], argument: Any) -> None:
+        """Calls back in the loop's next turn."""
 
-    def descriptor(self) -> bool: ...
+    def descriptor(self) -> bool:
+        """Takes a descriptor for a dial; false where there is none."""
 
-    def freed(self) -> None: ...
+    def freed(self) -> None:
+        """A descriptor has been given back."""
 
     def starving(self) -> bool:
         """Whether dials wait for descriptors: an idle connection would keep one from them."""
@@ -281,9 +295,11 @@
     settings: Settings
     figures: Figures
 
-    def tell(self, event: Event) -> None: ...
+    def tell(self, event: Event) -> None:
+        """Hands the module an event."""
 
-    def apply(self, listing: Listing, kind: ListKind) -> None: ...
+    def apply(self, listing: Listing, kind: ListKind) -> None:
+        """Takes over a list of nodes, or changes to it."""
 
     def emptied(self, listing: Listing) -> bool:
         """Whether a whole list would leave nothing of the one that is known."""
@@ -306,11 +322,14 @@
     duty: Duty
     figures: Figures
 
-    def at(self, due: float, call: Callable[..., None], argument: Any = None) -> Handle: ...
+    def at(self, due: float, call: Callable[..., None], argument: Any = None) -> Handle:
+        """Calls back at a time, in milliseconds on the clock."""
 
-    def soon(self, call: Callable[..., None], argument: Any) -> None: ...
+    def soon(self, call: Callable[..., None], argument: Any) -> None:
+        """Calls back in the loop's next turn."""
 
-    def freed(self) -> None: ...
+    def freed(self) -> None:
+        """A descriptor has been given back."""
 
     def spare(self) -> bool:
         """Closes the connection to a node that has been idle for longest, if there is one."""
@@ -329,9 +348,11 @@
         size: float | None = None,
         retry: bool = False,
         write: bool = False,
-    ) -> None: ...
+    ) -> None:
+        """Takes a request in hand: it is owed its one final answer."""
 
-    def client_gone(self, item: Open) -> None: ...
+    def client_gone(self, item: Open) -> None:
+        """The client of a request has left."""
 
     def body_came(self, item: Open, pieces: Sequence[bytes]) -> None:
         """Pieces of a long body, for the attempts that are under way."""
@@ -345,7 +366,8 @@
     def spend(self, item: Open) -> bool:
         """Whether the start of the body need not be held any more, as a box is getting it."""
 
-    def pause(self, item: Open, paused: bool) -> None: ...
+    def pause(self, item: Open, paused: bool) -> None:
+        """A client reads a long answer too slowly, or has caught up."""
 
 
 class Door(Protocol):
--- a/notchflow/net/front.py
+++ b/notchflow/net/front.py
@@ -163,6 +163,7 @@
             self.host.freed()
 
     def close(self) -> bool:
+        """Takes what waits to be accepted and closes what is idle; whether all clients have gone."""
         if self.listener is not None:
             self._accept()
             if self.backlog_empty:
@@ -201,6 +202,7 @@
                 client.close()
 
     def lost(self, client: Client) -> None:
+        """A client's connection has ended."""
         self.clients.pop(client, None)
         self.lingering.pop(client, None)
         self.idle.pop(client, None)  # else the dead stay for good, and closing one of them makes no room
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -210,6 +210,7 @@
             pool.connect_ms = settings.limits.connect_timeout_ms
 
     def stop(self) -> None:
+        """The process is to end: what was taken is answered, and clients go elsewhere."""
         now = self.clock.now()
         heir = self.succession.heir if self.succession is not None else None
         if not self.duty.leave(now, heir is not None):
--- a/notchflow/net/listing.py
+++ b/notchflow/net/listing.py
@@ -32,6 +32,7 @@
 
 
 def parse_address(text: object) -> Address:
+    """Host and port from `host:port`. A ValueError says what is wrong."""
     if not isinstance(text, str):
         raise ValueError(f"expected host:port, got {text!r}")
     host, mark, port = text.rpartition(":")
--- a/notchflow/net/pool.py
+++ b/notchflow/net/pool.py
@@ -28,6 +28,7 @@
         self.retired = False
 
     def send(self, exchange: Exchange, now: float) -> None:
+        """Begins an exchange on an idle connection, or dials for it."""
         if self.retired:  # whoever decided on it did so by an older list
             self.host.soon(exchange.unsent, None)
             return
@@ -125,6 +126,7 @@
             connection.start(exchange, now)
 
     def give_up(self, exchange: Exchange) -> None:
+        """The exchange that a dial is for is over: so is the dial."""
         for connection, (task, waiting, timer) in self.dials.items():
             if waiting is exchange:
                 del self.dials[connection]
@@ -141,6 +143,7 @@
         self.idle.append(connection)
 
     def closed(self, connection: Connection) -> None:
+        """A connection has ended."""
         self._uncount(connection)
         self._undone(connection)  # lost as soon as it had come up
         self.adopting.pop(connection, None)
@@ -148,6 +151,7 @@
             self.idle.remove(connection)
 
     def sweep(self, now: float) -> None:
+        """Closes connections that have been idle for too long."""
         keep = 0
         while keep < len(self.idle) and (self.retired or self.idle[keep].idle_since + self.limit.ms <= now):
             keep += 1
--- a/notchflow/net/succession.py
+++ b/notchflow/net/succession.py
@@ -31,7 +31,8 @@
     loop: asyncio.AbstractEventLoop
     clock: Clock
 
-    def at(self, due: float, call: Callable[..., None], argument: Any = None) -> Handle: ...
+    def at(self, due: float, call: Callable[..., None], argument: Any = None) -> Handle:
+        """Calls back at a time, in milliseconds on the clock."""
 
     def usage(self) -> tuple[int, int]:
         """Descriptors in use, and bytes held."""
@@ -62,6 +63,7 @@
         self.name = f"notchflow-{re.sub('[^A-Za-z0-9_-]', '_', name)[:40]}.sock"
 
     def path(self, name: str | None = None) -> str:
+        """Where a socket of this folder is reached, however long the folder's own path is."""
         return f"/proc/self/fd/{self.folder}/{name or self.name}"
 
     def dial(self) -> socket.socket | None:
--- a/notchflow/net/watch.py
+++ b/notchflow/net/watch.py
@@ -133,12 +133,14 @@
 
     @property
     def phase(self) -> Phase:
+        """What the watch does now."""
         if self.out:
             return Phase.WATCHING if len(self.out) == 1 else Phase.RENEWING
         return Phase.RESTING if self.next_at < inf else Phase.IDLE
 
     @property
     def wake_at(self) -> float:
+        """When it has to be woken, in milliseconds; infinity where nothing is due."""
         if not self.out:
             return self.next_at
         return min(self.renew_at, *(self._overdue_at(out) for out in self.out))
