--- a/standins/discovery.py
+++ b/standins/discovery.py
@@ -33,6 +33,7 @@
         self.changed = asyncio.Condition()
         self.port = 0
         self.calls = 0
+        self.written = 0  # bytes of answers
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.silent: set[asyncio.StreamWriter] = set()  # on these nothing is said any more
@@ -103,6 +104,7 @@
                 listing = self.listing(index)
                 body = json.dumps(listing).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+                self.written += len(body)
                 now = asyncio.get_running_loop().time()
                 self.told.update({e["id"]: now for e in listing["members"]})
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
