--- /dev/null
+++ b/notchflow/hosting/derived.py
@@ -0,0 +1,41 @@
+"""What the parts of the service are made with, from the operator's file."""
+
+from __future__ import annotations
+
+from notchflow.admin.operations import Defaults
+from notchflow.admin.server import Bounds
+from notchflow.effects.memory import Rule
+from notchflow.hosting.file import OperatorFile
+from notchflow.hosting.schema import EFFECTS, AdminModel
+from notchflow.interface import Effect
+from notchflow.tenancy.door import Face
+
+
+def face(file: OperatorFile) -> Face:
+    return Face(
+        file.fleet.path_prefix,
+        file.fleet.host.encode(),
+        file.service.body_max,
+        {c.name: EFFECTS[c.effect] for c in file.classes},
+    )
+
+
+def bounds(admin: AdminModel) -> Bounds:
+    return Bounds(
+        admin.head_max, admin.body_max, admin.timeout_s, admin.rate_per_s, admin.burst, admin.connections
+    )
+
+
+def rules(file: OperatorFile) -> dict[str, Rule]:
+    """What is remembered of each class with effects."""
+    found: dict[str, Rule] = {}
+    for c in file.classes:
+        kind = EFFECTS[c.effect]
+        if file.effects is not None and kind is not Effect.SAFE:
+            keep_s = file.effects.unsafe_s if kind is Effect.UNSAFE else file.effects.keyed_s
+            found[c.name] = Rule(kind, int(keep_s * 1e3), c.window_ms if kind is Effect.KEYED else 0.0)
+    return found
+
+
+def defaults(file: OperatorFile) -> Defaults:
+    return Defaults(tuple(c.name for c in file.classes), file.tenants.limits.core())
--- a/notchflow/hosting/service.py
+++ b/notchflow/hosting/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import concurrent.futures
 import contextlib
 import logging
 import os
@@ -11,28 +10,26 @@
 import signal
 import sys
 import time
-from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
 from pathlib import Path
-from typing import Any, Final, TypeVar
+from typing import Final, TypeVar
 
 import uvloop
 
 from notchflow.admin.api import Backend, create
-from notchflow.admin.operations import ApiProblem, Change, Defaults, Operations
-from notchflow.admin.server import AdminServer, Bounds
+from notchflow.admin.operations import ApiProblem, Change, Operations
+from notchflow.admin.server import AdminServer
 from notchflow.cluster.identity import IdentityFault
 from notchflow.effects.keeper import Keeper
-from notchflow.effects.memory import Rule
+from notchflow.hosting.bridge import Bridge, apply
+from notchflow.hosting.derived import bounds, defaults, face, rules
 from notchflow.hosting.file import FileFaults, OperatorFile, load
 from notchflow.hosting.membership import Membership
+from notchflow.hosting.proxy import HostedHost
 from notchflow.hosting.rules import FleetRules
-from notchflow.hosting.schema import EFFECTS, AdminModel
-from notchflow.interface import Effect, ListKind, Retune, State
+from notchflow.interface import ListKind
 from notchflow.net.collector import settle
-from notchflow.net.config import Config
-from notchflow.net.host import Host
-from notchflow.net.listing import Listing, parse_address
+from notchflow.net.listing import parse_address
 from notchflow.state.database import Database, StateError
 from notchflow.state.replicated import Applied
 from notchflow.store.commit import Committer
@@ -40,9 +37,8 @@
 from notchflow.store.files import Locked, RealFiles
 from notchflow.store.manifest import ManifestError
 from notchflow.store.tools import store_clock
-from notchflow.tenancy import figures
 from notchflow.tenancy.directory import Directory
-from notchflow.tenancy.door import Face, TenantDoor
+from notchflow.tenancy.door import TenantDoor
 from notchflow.tenancy.model import Tenant, TenantState
 
 log = logging.getLogger(__name__)
@@ -54,185 +50,6 @@
 SWITCH_S: Final = 0.0005
 USED_EVERY_S: Final = 10.0  # keys' last use goes to disk this often, all at once
 RETIRE_S: Final = 2.0
-GONE_KEPT_MS: Final = 60_000.0  # a box that is gone is still shown for so long
-
-
-class HostedHost(Host):
-    """A host that also remembers what the list calls its boxes, for those who ask the API."""
-
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, door: TenantDoor) -> None:
-        self.seen: dict[int, tuple[str, str, State, float]] = {}  # name, address, state, told at (ms)
-        self.tenants = door.directory
-        self.keeper: Keeper | None = None
-        self.membership: Membership | None = None
-        super().__init__(config, loop, door)
-
-    def apply(self, listing: Listing, kind: ListKind) -> None:
-        now, names, addresses = self.clock.now(), listing.names or {}, listing.addresses or {}
-        if kind is not ListKind.DELTA:
-            for node in self.seen.keys() - names.keys():
-                self._note(node, *self.seen[node][:2], State.GONE, now)
-        for member in listing.members:
-            host, port = addresses[member.node]
-            self._note(member.node, names[member.node], f"{host}:{port}", member.state, now)
-        self.seen = {
-            node: box
-            for node, box in self.seen.items()
-            if box[2] is not State.GONE or box[3] + GONE_KEPT_MS > now
-        }
-        super().apply(listing, kind)
-
-    def _note(self, node: int, name: str, address: str, state: State, now: float) -> None:
-        before = self.seen.get(node)
-        at = before[3] if before is not None and before[2] is state else now
-        self.seen[node] = name, address, state, at
-
-    def report(self) -> str:
-        """The platform's figures, and those of tenants."""
-        lines = [
-            *figures.lines(self.tenants.entries.values()),
-            *effect_lines(self.keeper),
-            *(self.membership.lines() if self.membership is not None else ()),
-        ]
-        return super().report() + "\n".join(lines) + "\n"
-
-    def view(self) -> dict[str, Any]:
-        """The proxy itself, for those who ask the API."""
-        return {
-            "phase": self.duty.phase.value,
-            "serving": self.serving(),
-            "descriptors": self.used,
-            "open_requests": self.figures.open,
-            "bytes_held": self.held,
-            "clients": sum(len(front.clients) for front in self.fronts),
-            "effects": self.keeper.figures() if self.keeper is not None else None,
-        }
-
-    def rebalance(self, balancers: int) -> None:
-        """So many proxies are there, this one counted."""
-        self._take_over(replace(self.config, settings=replace(self.settings, balancers=balancers)))
-        self.config = replace(self.config, settings=self.settings)
-        self.tell(Retune(self.settings))
-
-    def boxes(self) -> list[dict[str, Any]]:
-        nodes = self.balancer.fleet.nodes
-        return [
-            {
-                "id": name,
-                "address": address,
-                "state": state.value,
-                "changed_at": at / 1e3,
-                "in_flight": nodes[node].in_flight if node in nodes else 0,
-            }
-            for node, (name, address, state, at) in sorted(self.seen.items(), key=lambda item: item[1])
-        ]
-
-
-class Bridge:
-    """The running proxy for the administration's thread: each call is one turn of the proxy's loop."""
-
-    def __init__(self, loop: asyncio.AbstractEventLoop, directory: Directory, host: HostedHost) -> None:
-        self.loop, self.directory, self.host = loop, directory, host
-
-    async def ask(self, call: Callable[[], T]) -> T:
-        """Runs a call on the proxy's loop and waits for it on this one."""
-        done: concurrent.futures.Future[T] = concurrent.futures.Future()
-
-        def run() -> None:
-            try:
-                done.set_result(call())
-            except BaseException as error:
-                done.set_exception(error)
-
-        self.loop.call_soon_threadsafe(run)
-        return await asyncio.wrap_future(done)
-
-    async def apply(self, changes: Sequence[Change]) -> None:
-        await self.ask(lambda: apply(self.directory, changes))
-
-    async def usage(self, tenant: str) -> dict[str, Any]:
-        def read() -> dict[str, Any]:
-            member = self.host.membership
-            fleet = member.limits.usage(tenant) if member is not None and member.limits is not None else None
-            return here() | {"fleet": fleet}
-
-        def here() -> dict[str, Any]:
-            entry = self.directory.entries.get(tenant)
-            if entry is None:
-                return {"in_hand": 0, "bytes_held": 0, "asked": 0, "served": 0, "failed": 0, "refused": {}}
-            usage = entry.usage
-            return {
-                "in_hand": usage.in_hand,
-                "bytes_held": usage.bytes,
-                "asked": usage.asked,
-                "served": usage.served,
-                "failed": usage.failed,
-                "refused": dict(usage.refused),
-            }
-
-        return await self.ask(read)
-
-    async def boxes(self) -> list[dict[str, Any]]:
-        return await self.ask(self.host.boxes)
-
-    async def proxy(self) -> dict[str, Any]:
-        return await self.ask(self.host.view)
-
-    async def cluster(self) -> dict[str, Any] | None:
-        member = self.host.membership
-        return await self.ask(member.show) if member is not None else None
-
-    async def duty(self, active: bool) -> bool:
-        return await self.ask(self.host.active if active else self.host.standby)
-
-
-def apply(directory: Directory, changes: Iterable[Change]) -> None:
-    now = time.monotonic()
-    for change in changes:
-        if isinstance(change, Tenant):
-            directory.put(change, now)
-        else:
-            directory.put_key(change)
-
-
-def face(file: OperatorFile) -> Face:
-    return Face(
-        file.fleet.path_prefix,
-        file.fleet.host.encode(),
-        file.service.body_max,
-        {c.name: EFFECTS[c.effect] for c in file.classes},
-    )
-
-
-def bounds(admin: AdminModel) -> Bounds:
-    return Bounds(
-        admin.head_max, admin.body_max, admin.timeout_s, admin.rate_per_s, admin.burst, admin.connections
-    )
-
-
-def rules(file: OperatorFile) -> dict[str, Rule]:
-    """What is remembered of each class with effects."""
-    found: dict[str, Rule] = {}
-    for c in file.classes:
-        kind = EFFECTS[c.effect]
-        if file.effects is not None and kind is not Effect.SAFE:
-            keep_s = file.effects.unsafe_s if kind is Effect.UNSAFE else file.effects.keyed_s
-            found[c.name] = Rule(kind, int(keep_s * 1e3), c.window_ms if kind is Effect.KEYED else 0.0)
-    return found
-
-
-def effect_lines(keeper: Keeper | None) -> list[str]:
-    """The memory of effects on the console."""
-    if keeper is None:
-        return []
-    told = keeper.figures()
-    denied = told.pop("denied")
-    flat = told | {f"denied_{why.replace('-', '_')}": count for why, count in denied.items()}
-    return [f"effects_{name} {value}" for name, value in flat.items()]
-
-
-def defaults(file: OperatorFile) -> Defaults:
-    return Defaults(tuple(c.name for c in file.classes), file.tenants.limits.core())
 
 
 class Service:
--- a/tests/agreement/test_explored.py
+++ b/tests/agreement/test_explored.py
@@ -17,8 +17,9 @@
 from notchflow.cluster.agreement.replica import Hard, Replica
 from notchflow.cluster.agreement.session import Lease
 from notchflow.cluster.agreement.wire import Append, Appended, Entry, Kind, Vote, Voted
-from notchflow.emulator.agreement import Disk, Trouble, World
+from notchflow.emulator.agreement import Disk, World
 from notchflow.emulator.agreement_explorer import Scope, explore
+from notchflow.emulator.agreement_trouble import Trouble
 
 LONG = bool(os.environ.get("NOTCHFLOW_LONG"))
 SMALL = (Scope(timeouts=1, changes=1), Scope(timeouts=1, changes=1, losses=1))
