--- a/notchflow/net/desk.py
+++ b/notchflow/net/desk.py
@@ -413,6 +413,8 @@
         """An attempt has ended. The first 200 and the end of a stream are the request's final answer."""
         item = attempt.open
         item.out.pop(attempt.number, None)
+        if self.starved:  # it wants no descriptor any more
+            self.starved.pop(attempt, None)
         item.last = status
         if not status.never_ran:
             item.may_have_run = True
--- a/tests/crossings/test_descriptors.py
+++ b/tests/crossings/test_descriptors.py
@@ -84,6 +84,24 @@
     run(test())
 
 
+def test_a_dial_that_is_given_up_waits_for_no_descriptor_any_more(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against connections closed for the sake of a request that is over."""
+    monkeypatch.setattr(desk, "DESCRIPTOR_WAIT_MS", 60_000.0)
+
+    async def test() -> None:
+        gate = Gate(serve_value)
+        async with held_by(gate) as rig:
+            clients = await short_of_descriptors(rig)
+            clients[1].send(path="/api/00aa", X_Budget="0.05")
+            await until(rig.host.starving)
+            assert await clients[1].receive() is not None
+            assert not rig.host.starving()
+            gate.open.set()
+            await all_over(rig)
+
+    run(test())
+
+
 def test_an_idle_client_gives_way_where_no_descriptor_comes_free(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against dials that wait for good beside clients that ask for nothing."""
     monkeypatch.setattr(desk, "DESCRIPTOR_WAIT_MS", 0.0)
