--- a/tests/emulator/test_fleet.py
+++ b/tests/emulator/test_fleet.py
@@ -138,6 +138,7 @@
     ("proxies", "nodes", "share", "seed", "event"),
     [
         (3, 8, 0.9, 1, "killed"),
+        (3, 8, 0.9, 3, "killed"),
         (30, 12, 0.9, 1, "killed"),
         (30, 12, 0.9, 2, "killed"),
         (230, 40, 0.9, 1, "restarted"),
