Stand-ins: a connection accepted in the turn of the stop is ended too

Cause: the proxy opens a second watch 501 ms after a silent first one, and says that it is ready after 500 ms; so the test ends as the second connection is accepted. A server that stops ends the connections that it knows of, and two turns of the loop pass between the accept and the handler that enters it.

Shown by force: a connection accepted 0 to 5 turns before the stop, with each of the three stand-ins. A stopped node even answered what came there.

test_descriptors starts the scripted discovery again by its own start, with the same port, in place of a second server around its handler.

--- a/standins/box.py
+++ b/standins/box.py
@@ -70,6 +70,7 @@
         """As when the process dies: connections are reset, new ones refused."""
         if self.server is not None:
             self.server.close()
+            self.server = None
         self.reset()
 
     def reset(self) -> None:
@@ -113,6 +114,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        if self.box.server is None:  # accepted just before the stop, which did not see it
+            self.transport.abort()
+            return
         self.box.open.add(self.transport)
         self.box.hold("accepted")
 
--- a/standins/discovery.py
+++ b/standins/discovery.py
@@ -51,8 +51,8 @@
     def stop(self) -> None:
         if self.server is not None:
             self.server.close()
-        for writer in self.writers:
-            writer.transport.abort()
+            self.server = None
+        self.reset()
 
     def silence(self) -> int:
         """All that is open now is never answered; how many connections that is."""
@@ -87,6 +87,9 @@
         return {"revision": self.revision, "complete": whole, "members": entries}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.server is None:  # accepted just before the stop, which did not see it
+            writer.transport.abort()
+            return
         self.writers.add(writer)
         try:
             while line := (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n", 1)[0]:
--- a/tests/crossings/test_descriptors.py
+++ b/tests/crossings/test_descriptors.py
@@ -26,7 +26,7 @@
             rig.discovery.stop()
             crowd = [socket.create_connection(("127.0.0.1", rig.port)) for _ in range(2 * SOCKETS)]
             await until(lambda: not front.accepting and len(front.clients) >= 0.7 * rig.host.descriptors)
-            server = await asyncio.start_server(rig.discovery._serve, "127.0.0.1", port)
+            await rig.discovery.start(port)
             _, writer = await rig.calls.get()
             while writer.transport.is_closing():
                 _, writer = await rig.calls.get()
@@ -36,7 +36,6 @@
             assert [a.status for a in answers] == [200] * 8
             assert [len(n.seen) for n in rig.nodes] == [0, 8]
             assert rig.host.used <= rig.host.descriptors
-            server.close()
             for sock in crowd:
                 sock.close()
             await all_over(rig)
--- a/tests/door/test_fuzz.py
+++ b/tests/door/test_fuzz.py
@@ -250,7 +250,7 @@
         return self
 
 
-async def _nothing() -> None:
+async def _nothing(port: int = 0) -> None:
     """The box runs already."""
 
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -104,11 +104,14 @@
     port: int = 0
     server: asyncio.Server | None = None
 
-    async def start(self) -> None:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.server is None:  # accepted just before the stop, which did not see it
+            writer.transport.abort()
+            return
         self.connections += 1
         self.open.add(writer)
         try:
@@ -122,6 +125,7 @@
     def stop(self) -> None:
         if self.server is not None:
             self.server.close()
+            self.server = None
         for writer in self.open:
             writer.transport.abort()
 
--- /dev/null
+++ b/tests/test_standin_stop.py
@@ -0,0 +1,50 @@
+"""A stand-in that stops ends every connection, whatever part of being accepted it has come to."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Protocol
+
+import pytest
+
+from standins.box import Box
+from standins.discovery import Registry
+from tests.rig import Peer, run
+
+TURNS = 6  # of the loop: by then a connection is accepted and its handler has begun
+
+
+class Server(Protocol):
+    """What all stand-ins have in common."""
+
+    port: int
+
+    async def start(self) -> None: ...
+    def stop(self) -> None: ...
+
+
+def node() -> Server:
+    return Box("b")
+
+
+@pytest.mark.parametrize("make", [Peer, Registry, node])
+@pytest.mark.parametrize("turns", range(TURNS))
+def test_a_connection_accepted_just_before_the_stop_is_ended_too(make: type[Server], turns: int) -> None:
+    """Guards against a handler that nobody ends, and against a dead node that answers."""
+
+    async def test() -> None:
+        server = make()
+        await server.start()
+        with socket.create_connection(("127.0.0.1", server.port)) as client:
+            client.setblocking(False)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            server.stop()
+            try:
+                received = await asyncio.get_running_loop().sock_recv(client, 1)
+            except ConnectionResetError:
+                received = b""
+            assert received == b""
+
+    run(test(), patience_s=2.0)
