Policy: a further attempt, a spread's step and a group are decided in fewer lines

What ends a request after a failed attempt stood in three places, one after the other; a spread's two directions and the members of a group in two. One difference: a write that may have no further attempt, as it goes to the origin alone, no longer takes one from the budget.

--- a/notchflow/policy/balancer.py
+++ b/notchflow/policy/balancer.py
@@ -243,19 +243,14 @@
         if status is MISS:
             self._send(now, pending, self.fleet.origin)
             return
-        if self.throttle.pressure() > 0 and not pending.request.write and not status.never_ran:
-            self._finish(pending)
-            return
         # What never ran has cost no work: only the most attempts allowed bound it, so that one full or dead
         # server does not have its requests refused while others have room.
-        short = not status.never_ran and self.budgets.retries < 1
-        if short or pending.deadline - now <= self.settings.tick_ms:
-            self._finish(pending)
-            return
-        self.budgets.retries -= 0 if status.never_ran else 1
-        if self.fleet.aside and pending.request.write:
+        write, ran = pending.request.write, not status.never_ran
+        spent = ran and (self.budgets.retries < 1 or (self.throttle.pressure() > 0 and not write))
+        if spent or (self.fleet.aside and write) or pending.deadline - now <= self.settings.tick_ms:
             self._finish(pending)
             return
+        self.budgets.retries -= ran
         self._send(now, pending, self.placement.pick(now, pending, self.rate))
 
     def _finish(self, pending: Pending) -> None:
--- a/notchflow/policy/hot_keys.py
+++ b/notchflow/policy/hot_keys.py
@@ -173,10 +173,9 @@
         spread = {}
         for key, servers in needed.items():
             now_at, since = self.spread.get(key, (1, -math.inf))
-            if servers > now_at and now >= since + WIDEN_MS:
-                now_at, since = min(servers, now_at + max(1, now_at // 2)), now
-            elif servers < now_at and now >= since + WIDEN_MS:
-                now_at, since = now_at - 1, now
+            if servers != now_at and now >= since + WIDEN_MS:
+                wider = min(servers, now_at + max(1, now_at // 2))
+                now_at, since = wider if servers > now_at else now_at - 1, now
             spread[key] = now_at, since
         self.spread = spread
 
--- a/notchflow/policy/pending.py
+++ b/notchflow/policy/pending.py
@@ -58,14 +58,9 @@
             return not earlier
         if now >= self.before():
             return False
-        group, here = self.cls.group, node.member
-        for other, _ in earlier:
-            there = other.member
-            if group is not Group.ALL and there.zone != here.zone:
-                return False
-            if group is Group.CELL and there.cell != here.cell:
-                return False
-        return True
+        group, here, there = self.cls.group, node.member, [other.member for other, _ in earlier]
+        near = group is Group.ALL or all(member.zone == here.zone for member in there)
+        return near and (group is not Group.CELL or all(member.cell == here.cell for member in there))
 
     def may_refuse(self) -> bool:
         if self.cls.effect is SAFE or not (self.may_have_run or self.out):
