Cold nodes: budgets trust a kind's weight as far as the kind is known

Callers: where all of many instances start again while nodes are cold, cold nodes are pushed over 1 to 2.5 s later and lost to them.

Cause: an instance that starts takes every kind of node for an equal, so that a small kind gets its due twice over until beliefs tell it apart.

Now tokens and home requests at cold nodes count with a part of the kind's weight, less the less its belief is sure.

--- a/notchflow/policy/fleet.py
+++ b/notchflow/policy/fleet.py
@@ -42,6 +42,7 @@
         self.ordered = Order()
         self.order, self.all_places = self.ordered.head, self.ordered.all_places  # asked with every request
         self.class_latency: dict[str, float] = {}
+        self.unlike = False  # whether servers of several kinds are ready
         self.in_flight = 0
         self.latency = 0.0  # usual, of all classes
         self.usual = 1.0  # slowness of the servers at large
@@ -80,6 +81,7 @@
         live = [n for n in self.nodes.values() if n.member.state is READY]
         self.origin = next((n for n in live if n.member.kind == kind), None) if kind is not None else None
         self.ready = sorted((n for n in live if kind is None or n.member.kind != kind), key=lambda n: n.id)
+        self.unlike = len({n.member.kind for n in self.ready}) > 1
         cold_ms = self.settings.rules.cold_ms
         for node in self.nodes.values():
             started = node.member.ready_at_ms
@@ -124,6 +126,11 @@
         total = self.ordered.total_weight
         return node.weight / total if total > 0 else 1.0
 
+    def certain(self, node: Node) -> float:
+        """The part of its weight that a server may be trusted with: kinds have to be learned."""
+        known = self.kinds.certain(node.member.kind) if isinstance(self.kinds, Beliefs) else 1.0
+        return known if self.unlike else 1.0
+
     def bounded(self, node: Node) -> bool:
         """At its load bound: far over its due part of what this instance has in flight."""
         return node.in_flight >= BOUND_MIN and node.in_flight > BOUND * self.in_flight * self.share(node) + 1
--- a/notchflow/policy/kinds.py
+++ b/notchflow/policy/kinds.py
@@ -22,6 +22,7 @@
 DRIFT_VAR: Final = 0.001  # a second: what kinds can do changes slowly
 OCTAVE: Final = 0.5 * math.log(2)  # weights move in half octaves: balancers that each know a little agree ...
 HOLD: Final = 0.8  # ... and only once the belief is so much of a step away
+CAUTION: Final = 3.0  # times the variance: of a kind that nothing is known of a fifth is counted
 
 
 class Steps:
@@ -104,6 +105,10 @@
             belief.total += ratio
             belief.count += 1
 
+    def certain(self, kind: str) -> float:
+        """The part of its weight that a kind may be trusted with."""
+        return math.exp(-CAUTION * self.beliefs.get(kind, Belief()).var)
+
     def step(self, now: float) -> bool:
         """Takes in what was heard since the last step; whether a weight changed."""
         span = min(now - self.stepped_at, 60_000.0) / 1000 if self.stepped_at > -math.inf else 0.0
--- a/notchflow/policy/placement.py
+++ b/notchflow/policy/placement.py
@@ -77,10 +77,11 @@
             return not fleet.overspent(node, now, rate * min(good / COLD_SLACK, 1.0))
         if fleet.overspent(node, now, rate):
             return False
+        certain = fleet.certain(node)
         if key is None or fleet.order(key)[0] is not node:
-            return fleet.spare(node, now, rate * good, self.rng.random())
+            return fleet.spare(node, now, rate * good * certain, self.rng.random())
         over_due = max(self.hot.topk.share(key) / fleet.share(node), 1.0)
-        return self.rng.random() * over_due <= min(fleet.cold_multiple * good, 1.0)
+        return self.rng.random() * over_due <= min(fleet.cold_multiple * good, 1.0) * certain
 
     def _held_back(self, node: Node) -> bool:
         """A server that answers too little in time while the fleet at large does well: part of its requests
--- a/tests/emulator/test_fleet.py
+++ b/tests/emulator/test_fleet.py
@@ -155,6 +155,7 @@
         (30, 12, 0.9, 2, "killed"),
         (230, 40, 0.9, 1, "restarted"),
         (230, 40, 0.9, 3, "restarted"),
+        (230, 40, 0.9, 2, "killed"),
         (230, 40, 0.9, 3, "killed"),
         *[
             (p, n, share, seed, event)
--- a/tests/test_kinds.py
+++ b/tests/test_kinds.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import pytest
 
 from benchmarks.kinds import SAME, TWO, play
-from notchflow.interface import Retune
+from notchflow.interface import ListKind, Member, Membership, Retune
 from notchflow.policy.kinds import PRIOR_VAR, Beliefs, Steps, estimator
 from tests.helpers import make_balancer, make_settings
 
@@ -74,6 +75,23 @@
     assert new.weights == old.weights
 
 
+def test_of_a_kind_that_nothing_is_known_of_a_part_is_counted_and_nearly_all_once_it_is_known() -> None:
+    beliefs = Beliefs()
+    assert beliefs.certain("x") == pytest.approx(math.exp(-3 * PRIOR_VAR))
+    hear(beliefs, 9, 1.0)
+    assert beliefs.certain("x") > 0.9
+
+
+@pytest.mark.parametrize(
+    ("balancers", "kinds", "certain"), [(8, "xx", 1.0), (8, "xy", 0.223), (3, "xy", 1.0)]
+)
+def test_a_fleet_of_one_kind_has_nothing_to_learn_of_it(balancers: int, kinds: str, certain: float) -> None:
+    balancer = make_balancer(0, balancers=balancers)
+    members = tuple(Member(number, kind=kind) for number, kind in enumerate(kinds))
+    balancer.handle(0.0, Membership(ListKind.FULL, members))
+    assert balancer.fleet.certain(balancer.fleet.ready[0]) == pytest.approx(certain, abs=0.001)
+
+
 def test_a_fleet_that_grows_past_three_proxies_keeps_its_weights() -> None:
     balancer = make_balancer(8)
     assert isinstance(balancer.fleet.kinds, Steps)
