--- a/benchmarks/nodes.py
+++ b/benchmarks/nodes.py
@@ -23,7 +23,7 @@
 from pathlib import Path
 from typing import Final
 
-from benchmarks.rig import ROOT, cpu_s, memory_mb
+from benchmarks.rig import ROOT, cpu_s, memory_mb, wait_ready
 from standins.box import Box
 from standins.discovery import Registry, member
 from standins.load import Paced
@@ -35,7 +35,6 @@
 RATE: Final = 40.0  # requests a second
 KEYS: Final = 2_000
 CHANGE_EVERY_S: Final = 0.5
-READY_S: Final = 20.0
 LOOK_S: Final = 0.2
 SETTINGS: Final = {
     "Classes": [{"Name": "read", "ObjectiveMs": 300, "DeadlineMs": 2000, "Effect": "repeatable"}],
@@ -112,22 +111,6 @@
         process.wait()
 
 
-async def ready(port: int) -> None:
-    """Waits until the process takes clients. A TimeoutError says that it does not."""
-    async with asyncio.timeout(READY_S):
-        while True:
-            try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", port)
-                writer.write(b"GET /health/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
-                head = await reader.read(100)
-                writer.close()
-                if b" 200 " in head:
-                    return
-            except OSError:
-                pass
-            await asyncio.sleep(0.02)
-
-
 async def change(registry: Registry, address: str, nodes: int) -> None:
     """Replaces one node after the other, in two steps each, without end."""
     old, new = 0, nodes
@@ -164,7 +147,7 @@
     for n in range(nodes):
         await registry.put(member(f"s-{n}", box.address))
     with tempfile.TemporaryDirectory() as folder, proxy(registry, Path(folder)) as (port, process):
-        await ready(port)
+        await asyncio.to_thread(wait_ready, port, process)
         begun, told = cpu_s(process), registry.written
         changes = asyncio.create_task(change(registry, box.address, nodes))
         load = asyncio.create_task(Paced(port, RATE, ask).run(span_s))
