--- a/notchflow/policy/balancer.py
+++ b/notchflow/policy/balancer.py
@@ -247,17 +247,17 @@
         # server does not have its requests refused while others have room.
         write, ran = pending.request.write, not status.never_ran
         spent = ran and (self.budgets.retries < 1 or (self.throttle.pressure() > 0 and not write))
-        if spent or (self.fleet.aside and write) or pending.deadline - now <= self.settings.tick_ms:
+        if spent or pending.deadline - now <= self.settings.tick_ms:
             self._finish(pending)
             return
         self.budgets.retries -= ran
-        self._send(now, pending, self.placement.pick(now, pending, self.rate))
+        node = None if self.fleet.aside and write else self.placement.pick(now, pending, self.rate)
+        self._send(now, pending, node)
 
     def _finish(self, pending: Pending) -> None:
         if not pending.done:
             pending.done = True
-            refuse = pending.may_refuse()
-            self.actions.append(Refuse(pending.request.id) if refuse else Fail(pending.request.id))
+            self.actions.append((Refuse if pending.may_refuse() else Fail)(pending.request.id))
         if not pending.out:
             self.pending.pop(pending.request.id, None)
 
