Cold budgets: the part answered in time goes to the budget, names and a belief made for nothing

The caller divided by the slack that Fleet.overspent multiplies with: now overspent takes the part answered in time and says itself what a budget is. Beliefs made a belief with each look at a cold server, to have a prior's variance: it looks the kind up. certain and unlike are now confidence and several_kinds; a request's node is chosen as a further attempt's is; the test of stand-ins that stop names its factories' type.

--- a/notchflow/policy/balancer.py
+++ b/notchflow/policy/balancer.py
@@ -165,10 +165,9 @@
             self._finish(pending)
             return
         self.budgets.earn()
-        if self.fleet.aside and request.write:
-            self._send(now, pending, self.fleet.origin)
-        else:
-            self._send(now, pending, self.placement.pick(now, pending, self.rate))
+        aside = self.fleet.aside and request.write
+        node = self.fleet.origin if aside else self.placement.pick(now, pending, self.rate)
+        self._send(now, pending, node)
         usual = self.fleet.class_latency.get(cls.name)
         if (self.second_copies and pending.out and usual and SECOND_AFTER * usual < cls.aim_ms
                 and cls.effect is not UNSAFE):
--- a/notchflow/policy/fleet.py
+++ b/notchflow/policy/fleet.py
@@ -42,7 +42,7 @@
         self.ordered = Order()
         self.order, self.all_places = self.ordered.head, self.ordered.all_places  # asked with every request
         self.class_latency: dict[str, float] = {}
-        self.unlike = False  # whether servers of several kinds are ready
+        self.several_kinds = False  # among the servers that are ready
         self.in_flight = 0
         self.latency = 0.0  # usual, of all classes
         self.usual = 1.0  # slowness of the servers at large
@@ -81,7 +81,7 @@
         live = [n for n in self.nodes.values() if n.member.state is READY]
         self.origin = next((n for n in live if n.member.kind == kind), None) if kind is not None else None
         self.ready = sorted((n for n in live if kind is None or n.member.kind != kind), key=lambda n: n.id)
-        self.unlike = len({n.member.kind for n in self.ready}) > 1
+        self.several_kinds = len({n.member.kind for n in self.ready}) > 1
         cold_ms = self.settings.rules.cold_ms
         for node in self.nodes.values():
             started = node.member.ready_at_ms
@@ -126,10 +126,11 @@
         total = self.ordered.total_weight
         return node.weight / total if total > 0 else 1.0
 
-    def certain(self, node: Node) -> float:
+    def confidence(self, node: Node) -> float:
         """The part of its weight that a server may be trusted with: kinds have to be learned."""
-        known = self.kinds.certain(node.member.kind) if isinstance(self.kinds, Beliefs) else 1.0
-        return known if self.unlike else 1.0
+        if self.several_kinds and isinstance(self.kinds, Beliefs):
+            return self.kinds.confidence(node.member.kind)
+        return 1.0
 
     def bounded(self, node: Node) -> bool:
         """At its load bound: far over its due part of what this instance has in flight."""
@@ -164,8 +165,9 @@
         slow = self.slowness(node, now) / self.usual
         return slow > BOUND and draw >= (BOUND / slow) ** SLOW_POWER
 
-    def overspent(self, node: Node, now: float, rate: float) -> bool:
-        """A cold server whose budget with this instance is spent, or may be from the life before this one."""
+    def overspent(self, node: Node, now: float, rate: float, good: float = 1.0) -> bool:
+        """A cold server whose budget with this instance is spent, or may be from the life before this one.
+        `good`: the part of what is asked for that is answered in time; a budget follows it in a jam."""
         if not self.cold(node, now):
             return False
         rules, sent = self.settings.rules, node.cold_sent
@@ -173,7 +175,7 @@
             sent.popleft()
         due = rate * rules.fall_ms * self.share(node)
         forgotten = node.member.ready_at_ms <= self.began_at and now < self.began_at + rules.fall_ms
-        return forgotten or len(sent) >= max(COLD_BURST, COLD_SLACK * rules.overload_factor * due)
+        return forgotten or len(sent) >= max(COLD_BURST, min(COLD_SLACK, good) * rules.overload_factor * due)
 
     def spare(self, node: Node, now: float, carried: float, draw: float) -> bool:
         """Whether a cold server may have a request that is at home elsewhere: a token bucket, emptied by all
--- a/notchflow/policy/kinds.py
+++ b/notchflow/policy/kinds.py
@@ -36,9 +36,7 @@
 
     def heard(self, kind: str, ratio: float, sent_at: float) -> None:
         """An answer took so many times what is usual for its class."""
-        total = self.slow.get(kind)
-        if total is None:
-            total = self.slow[kind] = [0.0, 0.0]
+        total = self.slow.setdefault(kind, [0.0, 0.0])
         total[0] += ratio
         total[1] += 1
 
@@ -105,9 +103,10 @@
             belief.total += ratio
             belief.count += 1
 
-    def certain(self, kind: str) -> float:
+    def confidence(self, kind: str) -> float:
         """The part of its weight that a kind may be trusted with."""
-        return math.exp(-CAUTION * self.beliefs.get(kind, Belief()).var)
+        belief = self.beliefs.get(kind)
+        return math.exp(-CAUTION * (belief.var if belief is not None else PRIOR_VAR))
 
     def step(self, now: float) -> bool:
         """Takes in what was heard since the last step; whether a weight changed."""
--- a/notchflow/policy/placement.py
+++ b/notchflow/policy/placement.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from notchflow.interface import Request
-from notchflow.policy.fleet import BOUND_MIN, COLD_SLACK, Fleet
+from notchflow.policy.fleet import BOUND_MIN, Fleet
 from notchflow.policy.health import healthy
 from notchflow.policy.hot_keys import HotKeys
 from notchflow.policy.nodes import Node, Throttle
@@ -74,14 +74,14 @@
         fleet, throttle = self.fleet, self.throttle
         good = (throttle.good + PRIOR) / (throttle.asked + PRIOR)  # 1 where nothing was asked lately
         if not fleet.many:
-            return not fleet.overspent(node, now, rate * min(good / COLD_SLACK, 1.0))
+            return not fleet.overspent(node, now, rate, good)
         if fleet.overspent(node, now, rate):
             return False
-        certain = fleet.certain(node)
+        confidence = fleet.confidence(node)
         if key is None or fleet.order(key)[0] is not node:
-            return fleet.spare(node, now, rate * good * certain, self.rng.random())
+            return fleet.spare(node, now, rate * good * confidence, self.rng.random())
         over_due = max(self.hot.topk.share(key) / fleet.share(node), 1.0)
-        return self.rng.random() * over_due <= min(fleet.cold_multiple * good, 1.0) * certain
+        return self.rng.random() * over_due <= min(fleet.cold_multiple * good, 1.0) * confidence
 
     def _held_back(self, node: Node) -> bool:
         """A server that answers too little in time while the fleet at large does well: part of its requests
--- a/tests/test_kinds.py
+++ b/tests/test_kinds.py
@@ -77,19 +77,21 @@
 
 def test_of_a_kind_that_nothing_is_known_of_a_part_is_counted_and_nearly_all_once_it_is_known() -> None:
     beliefs = Beliefs()
-    assert beliefs.certain("x") == pytest.approx(math.exp(-3 * PRIOR_VAR))
+    assert beliefs.confidence("x") == pytest.approx(math.exp(-3 * PRIOR_VAR))
     hear(beliefs, 9, 1.0)
-    assert beliefs.certain("x") > 0.9
+    assert beliefs.confidence("x") > 0.9
 
 
 @pytest.mark.parametrize(
-    ("balancers", "kinds", "certain"), [(8, "xx", 1.0), (8, "xy", 0.223), (3, "xy", 1.0)]
+    ("balancers", "kinds", "confidence"), [(8, "xx", 1.0), (8, "xy", 0.223), (3, "xy", 1.0)]
 )
-def test_a_fleet_of_one_kind_has_nothing_to_learn_of_it(balancers: int, kinds: str, certain: float) -> None:
+def test_a_fleet_of_one_kind_has_nothing_to_learn_of_it(
+    balancers: int, kinds: str, confidence: float
+) -> None:
     balancer = make_balancer(0, balancers=balancers)
     members = tuple(Member(number, kind=kind) for number, kind in enumerate(kinds))
     balancer.handle(0.0, Membership(ListKind.FULL, members))
-    assert balancer.fleet.certain(balancer.fleet.ready[0]) == pytest.approx(certain, abs=0.001)
+    assert balancer.fleet.confidence(balancer.fleet.ready[0]) == pytest.approx(confidence, abs=0.001)
 
 
 def test_a_fleet_that_grows_past_three_proxies_keeps_its_weights() -> None:
--- a/tests/test_standin_stop.py
+++ b/tests/test_standin_stop.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from typing import Protocol
 
 import pytest
@@ -30,7 +31,9 @@
 
 @pytest.mark.parametrize("make", [Peer, Registry, node])
 @pytest.mark.parametrize("turns", range(TURNS))
-def test_a_connection_accepted_just_before_the_stop_is_ended_too(make: type[Server], turns: int) -> None:
+def test_a_connection_accepted_just_before_the_stop_is_ended_too(
+    make: Callable[[], Server], turns: int
+) -> None:
     """Guards against a handler that nobody ends, and against a dead node that answers."""
 
     async def test() -> None:
