--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -12,6 +12,8 @@
 
 SPAN_S = 6.0
 SEEDS = (1, 8)  # the second with a crowd of idle clients
+LEFT_SPAN_S = 10.0
+LEFT_SEED = 424
 
 ANSWERED = Asked("a", False, True, 1.0, 0.3, 200, 1.2)
 CROSSED = Asked("b", False, False, 1.0, 0.3, None, 1.1)
@@ -36,6 +38,12 @@
     assert {one.status for one in record.asked} >= {200}
 
 
+def test_no_attempt_begins_long_after_its_client_left_as_processes_stop_and_go_on() -> None:
+    """Guards against attempts that begin over 0.1 s after the end of a client that left in a stall."""
+    _, broken = asyncio.run(play(LEFT_SEED, LEFT_SPAN_S))
+    assert broken == []
+
+
 @pytest.mark.parametrize(
     ("rule", "record"),
     [
