Reuse a connection only after a rest, so that a second response answers nobody

Where a node sends a response twice, some milliseconds apart, the second one was taken for the answer to the next request on the connection: foreign answers, and payments that ran twice, as a refusal made for one request was taken for the next.

Cause: responses are matched by order alone, and Pool.release offered a connection again at once.

Unsolicited responses are counted in svc_unsolicited_responses.

Why it works: on an idle connection such a response is recognised and ends the connection before it carries another request.

--- a/notchflow/net/client.py
+++ b/notchflow/net/client.py
@@ -13,6 +13,7 @@
 from httptools import HttpRequestParser
 
 from notchflow.net.exchange import CLIENT_CLOSED, REASON_PHRASES, ClientRequest, LocalReply, UpstreamResponse
+from notchflow.net.polling import pending_events
 from notchflow.net.request_head import (
     PLAIN_TARGET,
     is_unambiguous_target,
@@ -88,7 +89,7 @@
             return True
         if self.half_closed:
             return self.current is None or now > self.current.earliest_arrival_at + HALF_CLOSED_GRACE_MS
-        return self.was_paused and bool(self._poll(CLOSED_EVENTS))
+        return self.was_paused and bool(pending_events(self.transport, CLOSED_EVENTS))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """asyncio: the connection has closed, which ends every request on it."""
@@ -158,13 +159,8 @@
     def has_no_unread_input(self) -> bool:
         """Returns whether the kernel holds no unread input. A close over unread input would lose a
         request."""
-        return not self._poll(select.POLLIN)
-
-    def _poll(self, events: int) -> list[tuple[int, int]]:
         assert self.transport is not None
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), events)
-        return poll.poll(0)
+        return not pending_events(self.transport, select.POLLIN)
 
     def hand_over(self) -> int | None:
         """Releases the connection to another process, between two requests: input that has been read would be
--- a/notchflow/net/connection.py
+++ b/notchflow/net/connection.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import logging
+import select
 from bisect import bisect_right
 from collections.abc import Sequence
 from typing import Protocol, cast
@@ -12,6 +13,7 @@
 from httptools import HttpParserError, HttpResponseParser
 
 from notchflow.net.exchange import HOP_BY_HOP, ConnectionHost, UpstreamResponse
+from notchflow.net.polling import pending_events
 
 log = logging.getLogger(__name__)
 
@@ -23,6 +25,7 @@
 DIAL_COST = 0.15  # of a new connection, in failed requests
 MIN_GAIN = 2.0  # failed requests that a lower limit must save
 DECAY_INTERVAL_MS = 30_000.0
+RESPONSE_START, END_OF_HEAD = b"HTTP/1.", b"\r\n\r\n"
 CONSUMED_HEADERS = frozenset({b"x-rejected", b"x-hit", b"x-load-report"})
 
 
@@ -137,6 +140,9 @@
     def release(self, connection: Connection) -> None:
         """The exchange has ended, and the connection can be reused."""
 
+    def unsolicited_response(self, connection: Connection) -> None:
+        """A response has arrived on a connection without an exchange."""
+
 
 class Connection(asyncio.Protocol):
     """A connection to a node, or to discovery, which carries one exchange at a time."""
@@ -255,6 +261,8 @@
     def data_received(self, data: bytes) -> None:
         """asyncio: bytes of the response."""
         if self.exchange is None or self.parser is None:
+            if data.startswith(RESPONSE_START) and END_OF_HEAD in data:
+                self.pool.unsolicited_response(self)
             self.close()
             return
         self.last_read_at = self.pool.host.clock.loop_time()
@@ -313,6 +321,14 @@
         self.exchange = None
         self.close()
 
+    def is_closing(self) -> bool:
+        """Whether the connection is closed or about to be."""
+        return self.transport is None or self.transport.is_closing()
+
+    def has_unread_input(self) -> bool:
+        """Whether the kernel holds input that has not been read, the end of the stream included."""
+        return self.transport is not None and bool(pending_events(self.transport, select.POLLIN))
+
     def close(self) -> None:
         """Closes the connection at once."""
         if self.transport is not None:
--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -13,6 +13,7 @@
 from notchflow.net.exchange import DiscoveryHost, UpstreamResponse
 from notchflow.net.node_list import Address, NodeList, decode_node_list, node_id, parse_address
 from notchflow.net.pool import Pool
+from notchflow.net.reuse import ReuseDelay
 from notchflow.net.timers import TimerId, TimerWheel
 from notchflow.net.watch import ApplyList, CancelCall, ListWatch, ReportFailure, StartCall, WatchAction
 
@@ -58,6 +59,9 @@
         """Never: no dial to a node waits for these descriptors."""
         return False
 
+    def count_unsolicited_response(self) -> None:
+        """Does nothing: nodes' responses alone are counted."""
+
 
 class Discovery:
     """Executes the actions of the watch: makes calls, applies lists, reports failures to the policy."""
@@ -130,7 +134,9 @@
         self._execute(self.list_watch.restart(self.host.clock.now()))
 
     def _pool(self, address: Address) -> Pool:
-        return Pool(self.connection_host, address, CONNECT_TIMEOUT_MS, IdleLimit(IDLE_TIMEOUT_MS))
+        return Pool(
+            self.connection_host, address, CONNECT_TIMEOUT_MS, IdleLimit(IDLE_TIMEOUT_MS), ReuseDelay()
+        )
 
     def call_ended(self, number: int, node_list: NodeList | None, problem: str) -> None:
         """A call has ended, with a list or with a problem."""
@@ -153,7 +159,7 @@
                 case StartCall(number, revision, wait_ms):
                     query = b"" if revision is None else b"?index=%d&wait=%d" % (revision, wait_ms)
                     self.calls[number] = call = DiscoveryCall(self, number, REQUEST % query)
-                    self.pool.send(call, self.host.clock.now())
+                    self._start_call(call)
                 case CancelCall(number):
                     self.calls.pop(number).drop()
                 case ApplyList(node_list, kind):
@@ -166,6 +172,19 @@
                         self.host.dispatch(Membership(ListKind.FAILED))
         self._arm()
 
+    def _start_call(self, call: DiscoveryCall) -> None:
+        """Starts a call, once the connection of the call before it may be reused, so that a watch need not
+        dial for each of its calls."""
+        now = self.host.clock.now()
+        if wait_ms := self.pool.reuse_wait_ms(now):
+            self.host.call_at(now + wait_ms, self._send_call, call)
+        else:
+            call.pool.send(call, now)
+
+    def _send_call(self, call: DiscoveryCall) -> None:
+        if not call.ended:
+            call.pool.send(call, self.host.clock.now())
+
     def _arm(self) -> None:
         due = self.list_watch.wake_at
         if self.timer is not None:
--- a/notchflow/net/dispatcher.py
+++ b/notchflow/net/dispatcher.py
@@ -180,6 +180,10 @@
         """Whether dials are waiting for descriptors."""
         return bool(self.waiting_dials)
 
+    def count_unsolicited_response(self) -> None:
+        """Counts a response that a node has sent on an idle connection."""
+        self.metrics.unsolicited_responses += 1
+
     # -- policy
     def dispatch(self, event: Event) -> None:
         """Passes an event to the policy and executes its actions. Events caused meanwhile are queued and
--- a/notchflow/net/exchange.py
+++ b/notchflow/net/exchange.py
@@ -291,6 +291,9 @@
         """Whether dials are waiting for descriptors, so that a connection should be closed rather than kept
         idle."""
 
+    def count_unsolicited_response(self) -> None:
+        """Counts a response that has arrived on an idle connection."""
+
 
 class DiscoveryHost(ConnectionHost, Protocol):
     """The host, as discovery uses it."""
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -20,6 +20,7 @@
 from notchflow.net.handover import MAX_DESCRIPTORS_PER_FRAME, Handover, HandoverLink
 from notchflow.net.node_list import Address, NodeList, decode_node_list, encode_member
 from notchflow.net.pool import Pool
+from notchflow.net.reuse import ReuseDelay
 from notchflow.operations.handover import LimitShares
 from notchflow.operations.lifecycle import Lifecycle, Phase
 
@@ -54,6 +55,7 @@
     ) -> None:
         super().__init__(config, loop, clock)
         self.idle_limit = IdleLimit(config.conn_idle_ms)
+        self.reuse_delay = ReuseDelay()
         console_connections = connection_limit(config.sockets) if config.console is not None else 0
         self.descriptor_limit = self.total_descriptor_limit = max(
             config.sockets - RESERVED_DESCRIPTORS - console_connections, 8
@@ -335,7 +337,7 @@
                 retired.append(pool)
             if member.state is State.READY and (pool is None or not unchanged or pool.retired):
                 limit = self.settings.limits.connect_timeout_ms
-                self.pools[member.node] = Pool(self, address, limit, self.idle_limit)
+                self.pools[member.node] = Pool(self, address, limit, self.idle_limit, self.reuse_delay)
         if kind is not ListKind.DELTA:
             retired.extend(self.pools[node] for node in self.pools.keys() - addresses.keys())
             self.listed_nodes.clear()
--- a/notchflow/net/pool.py
+++ b/notchflow/net/pool.py
@@ -3,24 +3,30 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import os
 import socket
 from bisect import insort
 
 from notchflow.net.connection import Connection, Exchange, IdleLimit
 from notchflow.net.exchange import ConnectionHost
+from notchflow.net.reuse import MEMORY_MS, ReuseDelay
 from notchflow.net.timers import TimerId
 
+log = logging.getLogger(__name__)
+
 
 class Pool:
-    """The connections to one address. The one that became idle last is used first, so that the others
-    expire."""
+    """The connections to one address. Of those that may be reused, the one that became idle last is used
+    first, so that the others expire."""
 
     __slots__ = (
         "host",
         "address",
         "connect_timeout_ms",
         "idle_limit",
+        "reuse_delay",
+        "single_use_until",
         "idle",
         "dials",
         "adopting",
@@ -28,12 +34,19 @@
     )
 
     def __init__(
-        self, host: ConnectionHost, address: tuple[str, int], connect_timeout_ms: float, idle_limit: IdleLimit
+        self,
+        host: ConnectionHost,
+        address: tuple[str, int],
+        connect_timeout_ms: float,
+        idle_limit: IdleLimit,
+        reuse_delay: ReuseDelay,
     ) -> None:
         self.host = host
         self.address = address
         self.connect_timeout_ms = connect_timeout_ms
         self.idle_limit = idle_limit
+        self.reuse_delay = reuse_delay
+        self.single_use_until = 0.0  # until then each connection serves a single exchange
         self.idle: list[Connection] = []
         self.dials: dict[Connection, tuple[asyncio.Task[None], Exchange, TimerId]] = {}
         self.adopting: dict[Connection, asyncio.Task[None]] = {}
@@ -44,14 +57,10 @@
         if self.retired:  # the policy decided by an older list
             self.host.call_soon(exchange.not_sent, None)
             return
-        while self.idle:
-            connection = self.idle[-1]
-            if now - connection.idle_since > self.idle_limit.limit_ms:
-                break  # even the most recent is too old; `close_expired` closes them all
-            self.idle.pop()
-            if connection.transport is not None and not connection.transport.is_closing():
-                connection.start(exchange, now, now - connection.idle_since)
-                return
+        connection = self._take_idle(now)
+        if connection is not None:
+            connection.start(exchange, now, now - connection.idle_since)
+            return
         if not self.host.acquire_descriptor():
             exchange.await_descriptor()
             return
@@ -60,6 +69,47 @@
         timer_id = self.host.call_at(now + self.connect_timeout_ms, self._connect_timed_out, connection)
         self.dials[connection] = task, exchange, timer_id
 
+    def _take_idle(self, now: float) -> Connection | None:
+        """Removes and returns the connection that became idle last among those that may be reused."""
+        reusable_since = now - self.reuse_delay.delay_ms(now)
+        expired_since = now - self.idle_limit.limit_ms
+        for index in range(len(self.idle) - 1, -1, -1):
+            connection = self.idle[index]
+            if connection.idle_since < expired_since:
+                self.close_expired(now)
+                return None
+            if connection.idle_since > reusable_since or connection.is_closing():
+                continue
+            del self.idle[index]
+            if not connection.has_unread_input():
+                return connection
+            connection.close()  # an unsolicited response, or the node's close
+        return None
+
+    def reuse_wait_ms(self, now: float) -> float:
+        """Returns the time in milliseconds until the connection that became idle last may be reused; 0 if
+        there is nothing to wait for."""
+        delay_ms = self.reuse_delay.delay_ms(now)
+        if not self.idle or delay_ms > self.idle_limit.limit_ms:
+            return 0.0
+        return max(0.0, self.idle[-1].idle_since + delay_ms - now)
+
+    def unsolicited_response(self, connection: Connection) -> None:
+        """A response has arrived on a connection without an exchange."""
+        now = self.host.clock.now()
+        idle_ms = now - connection.idle_since
+        if connection not in self.idle or idle_ms > self.idle_limit.limit_ms:
+            return  # its exchange was abandoned, or it would not have been reused
+        self.host.count_unsolicited_response()
+        if self.reuse_delay.record_unsolicited(now, idle_ms):
+            self.single_use_until = now + MEMORY_MS
+            log.warning(
+                "an unsolicited response from %s:%d after %.0f ms: its connections are not reused for %.0f s",
+                *self.address,
+                idle_ms,
+                MEMORY_MS / 1e3,
+            )
+
     async def _dial(self, connection: Connection) -> None:
         try:
             await self.host.loop.create_connection(lambda: connection, *self.address)
@@ -152,10 +202,11 @@
     def release(self, connection: Connection) -> None:
         """An exchange has ended: keeps its connection idle, unless a dial elsewhere waits for a
         descriptor."""
-        if self.retired or self.host.has_waiting_dials():
+        now = self.host.clock.now()
+        if self.retired or self.host.has_waiting_dials() or now < self.single_use_until:
             connection.close()
             return
-        connection.idle_since = self.host.clock.now()  # decides for how long it may be reused
+        connection.idle_since = now  # decides from when on and for how long it may be reused
         self.idle.append(connection)
 
     def closed(self, connection: Connection) -> None:
--- a/notchflow/operations/metrics.py
+++ b/notchflow/operations/metrics.py
@@ -50,6 +50,7 @@
         self.classes: dict[str, ClassCounts] = {}
         self.cfg_accepted = self.cfg_invalid = 0
         self.registry_failures = 0  # calls to discovery that returned no usable list
+        self.unsolicited_responses = 0  # from nodes, on idle connections
         self.add_classes(classes)
 
     def add_classes(self, classes: Iterable[str]) -> None:
@@ -87,6 +88,7 @@
             "cfg_accepted": self.cfg_accepted,
             "cfg_invalid": self.cfg_invalid,
             "registry_failures": self.registry_failures,
+            "unsolicited_responses": self.unsolicited_responses,
         }.items():
             lines += [f"# TYPE {NAMESPACE}_{name} counter", f"{NAMESPACE}_{name} {value}"]
         for name, value in {"open_requests": self.open, **gauges}.items():
--- a/tests/crossings/test_answers.py
+++ b/tests/crossings/test_answers.py
@@ -131,6 +131,7 @@
             await wait_until(lambda: rig.forwarded_count)
             while dials.waiting < 3:  # later requests are served, so that the node has no queue
                 await other.request(path="/api/00aa")
+                await rig.wait_for_reuse()
             gate.set()
             response = await client.receive()
             assert response is not None and response.status == 200
--- a/tests/crossings/test_descriptors.py
+++ b/tests/crossings/test_descriptors.py
@@ -51,6 +51,7 @@
     clients = [await rig.connect() for _ in range(3)]
     for client in clients:
         assert (await client.request(path="/api/00aa")).status == 200
+        await rig.wait_for_reuse()
     for known in rig.host.frontend.clients:
         known.active_at -= MIN_IDLE_MS
     clients[0].send(path="/api/00aa?held")
--- a/tests/operations/test_handover.py
+++ b/tests/operations/test_handover.py
@@ -322,6 +322,7 @@
         await wait_until(lambda: ended and len(new.frontend.clients) == 6)
         await wait_until(lambda: sum(len(pool.idle) for pool in new.pools.values()) == dialled)
         for client in clients:
+            await rig.wait_for_reuse(new)
             assert (await client.request()).status == 200
         assert sum(node.connections for node in rig.nodes) == dialled
         assert new.descriptors_used == 6 + dialled, "the connection to discovery is not counted"
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -290,6 +290,12 @@
         self.host.balancer.handle = recording_handle  # type: ignore[method-assign]
         return events
 
+    async def wait_for_reuse(self, host: Host | None = None) -> None:
+        """Waits until every idle connection of this host (the rig's by default) to a node may carry its next
+        request."""
+        of = host or self.host
+        await wait_until(lambda: not any(p.reuse_wait_ms(of.clock.now()) for p in of.pools.values()))
+
     @property
     def forwarded_count(self) -> int:
         """Number of requests that the nodes have received."""
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -470,6 +470,7 @@
             await wait_until(lambda: any(pool.idle for pool in rig.host.pools.values()))
             (connection,) = [c for pool in rig.host.pools.values() for c in pool.idle]
             connection.set_paused(True)  # as if its last bytes had filled the client's buffer
+            await rig.wait_for_reuse()
             assert (response := await rig.request()).status == 200 and len(response.body) == size
             assert len(rig.body_nodes[0].open) == 1, "on the same connection"
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -39,6 +39,7 @@
             client = await rig.connect()
             for _ in range(5):
                 assert (await client.request()).status == 200
+                await rig.wait_for_reuse()
             assert rig.nodes[0].connections == 1
             (pool,) = rig.host.pools.values()
             (connection,) = pool.idle
