End no connection whose client is still taking its response

Cause: close_if_timed_out, Frontend.close_idle and Host's time to stop judged a connection by the time since its last activity, and threw away what its buffer held. A slow reader frees its receive buffer in large steps, so that nothing moves for seconds.

--- a/notchflow/net/client.py
+++ b/notchflow/net/client.py
@@ -12,8 +12,9 @@
 
 from httptools import HttpRequestParser
 
+from notchflow.net.delivery import DeliveryProgress
 from notchflow.net.exchange import CLIENT_CLOSED, REASON_PHRASES, ClientRequest, LocalReply, UpstreamResponse
-from notchflow.net.polling import pending_events
+from notchflow.net.polling import pending_events, unsent_bytes
 from notchflow.net.request_head import (
     PLAIN_TARGET,
     is_unambiguous_target,
@@ -47,7 +48,16 @@
 class ClientConnection(RequestReader):
     """A connection from a client."""
 
-    __slots__ = ("starting", "paused", "chunked", "charged_output", "handed_over", "half_closed", "closed_at")
+    __slots__ = (
+        "starting",
+        "paused",
+        "chunked",
+        "charged_output",
+        "handed_over",
+        "half_closed",
+        "closed_at",
+        "delivery",
+    )
 
     def __init__(self, frontend: ConnectionOwner, handed_over: bool = False) -> None:
         super().__init__(frontend)
@@ -58,6 +68,7 @@
         self.charged_output = 0
         self.half_closed = False  # the client's end of file has been read
         self.closed_at = math.inf  # when a lingering close began
+        self.delivery = DeliveryProgress()
 
     def _new_request(self) -> ClientRequest:
         return ClientRequest(self, self.host)
@@ -416,11 +427,16 @@
             ):
                 self.host.body_stalled(request.active)
             return
-        buffered = self.transport.get_write_buffer_size()
-        if now - self.closed_at > (STALL_TIMEOUT_MS if buffered else LINGER_MS):
+        if self.closing or self.paused:
+            self._update_delivery(now)
+            if self.delivery.has_stalled(now, STALL_TIMEOUT_MS):
+                self.transport.abort()
+            if self.delivery.unsent_bytes:
+                return
+        if now - max(self.closed_at, self.delivery.moved_at) > LINGER_MS:
             self.transport.abort()
             return
-        idle_ms = now - self.active_at
+        idle_ms = now - max(self.active_at, self.delivery.moved_at)
         in_progress = self.current is not None and self.current is not self.arriving and not self.paused
         if self.closing and not in_progress and not self.queued and idle_ms > LINGER_MS:
             self.transport.abort()
@@ -439,6 +455,31 @@
         elif not in_progress and idle_ms > IDLE_TIMEOUT_MS:
             self._close_unless_unread(idle_ms)
 
+    def _update_delivery(self, now: float) -> None:
+        assert self.transport is not None
+        self.delivery.update(now, unsent_bytes(self.transport))
+
+    def is_delivering(self, now: float) -> bool:
+        """Returns whether the client is still taking a response that would be cut off with this process."""
+        if self.transport is None:
+            return False
+        active = self.current.active if self.current is not None else None
+        if active is not None and active.streaming_attempt is not None:
+            return True
+        self._update_delivery(now)
+        return bool(self.transport.get_write_buffer_size()) and not self.delivery.has_stalled(
+            now, STALL_TIMEOUT_MS
+        )
+
+    def may_close_for_room(self) -> bool:
+        """Returns whether a close would lose neither a request nor a part of a response. The kernel goes on
+        sending what it holds, unless there is unread input."""
+        return (
+            self.transport is not None
+            and not self.transport.get_write_buffer_size()
+            and self.has_no_unread_input()
+        )
+
     def _close_unless_unread(self, silent_ms: float) -> None:
         """Closes a connection on which no request arrives, unless one lies unread."""
         if self.closed_at < math.inf or not self.has_no_unread_input():
--- a/notchflow/net/frontend.py
+++ b/notchflow/net/frontend.py
@@ -94,19 +94,17 @@
         """Closes one client connection on which no request is about to come, to free its descriptor. Returns
         false if there is none."""
         now = self.host.clock.now()
-        oldest_lingering = next(iter(self.lingering), None)
-        if (
-            oldest_lingering is not None
-            and oldest_lingering.transport is not None
-            and now >= oldest_lingering.closed_at + MIN_IDLE_MS
-        ):
-            oldest_lingering.transport.abort()  # its responses have long been delivered
-            del self.lingering[oldest_lingering]
-            return True
+        for client in islice(self.lingering, MAX_IDLE_CHECKED):
+            if now < client.closed_at + MIN_IDLE_MS:
+                break  # all later ones were closed after it
+            if client.transport is not None and client.may_close_for_room():
+                client.transport.abort()  # its responses have been delivered
+                del self.lingering[client]
+                return True
         for client in islice(self.idle, MAX_IDLE_CHECKED):
             if now < client.active_at + MIN_IDLE_MS:
                 break  # all later ones became idle after it
-            if client.transport is not None and client.has_no_unread_input():
+            if client.transport is not None and client.may_close_for_room():
                 del self.idle[client]
                 client.closing = True
                 # at once, for its descriptor; with no unread input the close sends no reset
@@ -184,6 +182,10 @@
             self._close_quiet(list(self.idle))
         return self.listener is None and not self.adopt_tasks and not self.clients
 
+    def is_delivering(self, now: float) -> bool:
+        """Returns whether a client is still taking a response that would be cut off with this process."""
+        return any(client.is_delivering(now) for client in self.clients)
+
     def close_listener(self) -> None:
         """Closes the listener."""
         if self.listener is not None:
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -217,7 +217,7 @@
         ):
             self.handover.send_client_connections(successor, handed_over)
         now = self.clock.now()
-        if now >= self.stop_deadline or not (
+        if self._must_stop(now) or not (
             self.frontend.clients or self.frontend.adopt_tasks or self.handover.is_sending
         ):
             self.loop.stop()
@@ -297,11 +297,15 @@
 
     def _drain(self, _: object = None) -> None:
         now = self.clock.now()
-        if all([frontend.drain() for frontend in self.frontends]) or now >= self.stop_deadline:
+        if all([frontend.drain() for frontend in self.frontends]) or self._must_stop(now):
             self.loop.stop()
         else:
             self.call_at(now + DRAIN_INTERVAL_MS, self._drain)
 
+    def _must_stop(self, now: float) -> bool:
+        """Whether the time to stop is over, and no client is still taking a response."""
+        return now >= self.stop_deadline and not any(f.is_delivering(now) for f in self.frontends)
+
     def _check_for_stall(self, _: object = None) -> None:
         self.call_at(self.stalls.mark_running(self.clock.now()), self._check_for_stall)
 
