Keep a node's group, cold budget and removal through lists and changes

Cause: Fleet.update made a new entry without the cell for a node that a whole list lacks, and Pending compared groups as they are now. Of the same kind: a cold node left out by one list got its budget anew, as what is known of a gone node was dropped at once; and what another process of a proxy is told of a list did not name the nodes that a whole list lacks.

Change: attempts keep their node's entry as it was sent (SentAttempt); gone nodes keep their entry, and are kept while their cold budget counts; Host.apply_discovered names removed nodes to the other processes.

--- a/notchflow/interface.py
+++ b/notchflow/interface.py
@@ -9,7 +9,7 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import NamedTuple, TypeAlias
 
@@ -213,6 +213,10 @@
     size: float = 1.0
     ready_at_ms: float = 0.0
 
+    def with_state(self, state: State) -> Member:
+        """Returns this entry in another state."""
+        return replace(self, state=state)
+
 
 @dataclass(frozen=True, slots=True)
 class Membership:
--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -163,8 +163,7 @@
                 case CancelCall(number):
                     self.calls.pop(number).drop()
                 case ApplyList(node_list, kind):
-                    self.host.apply(node_list, kind)
-                    self.host.share_list(node_list)
+                    self.host.apply_discovered(node_list, kind)
                 case ReportFailure(problem, watched):
                     self.host.metrics.registry_failures += 1
                     log.warning("discovery: %s", problem)
--- a/notchflow/net/exchange.py
+++ b/notchflow/net/exchange.py
@@ -304,15 +304,12 @@
     def dispatch(self, event: Event) -> None:
         """Passes an event to the policy."""
 
-    def apply(self, node_list: NodeList, kind: ListKind) -> None:
-        """Applies a list of nodes, or changes to it."""
+    def apply_discovered(self, listing: NodeList, kind: ListKind) -> None:
+        """Applies a list of nodes, or changes to it, in all processes of this proxy."""
 
     def removes_all_nodes(self, node_list: NodeList) -> bool:
         """Whether applying this complete list would remove every known node."""
 
-    def share_list(self, node_list: NodeList) -> None:
-        """Forwards a list to the other processes of this proxy."""
-
 
 class ClientHost(Protocol):
     """The host, as clients' connections use it."""
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -120,16 +120,27 @@
             "learned": self.balancer.export_state(self.clock.now()),
         }
 
-    def share_list(self, listing: NodeList) -> None:
-        """Sends changes of the list that discovery reported to the other processes of this proxy, which the
-        rules count as one proxy."""
-        if self.handover is None or not self.handover.links or not listing.members:
+    def apply_discovered(self, listing: NodeList, kind: ListKind) -> None:
+        """Applies what discovery reported, and sends it to the other processes of this proxy, which the rules
+        count as one proxy. They take it as changes, so the nodes that a complete list lacks are named."""
+        removed = self._unlisted_members(listing) if listing.complete else []
+        self.apply(listing, kind)
+        if self.handover is None or not self.handover.links or not (listing.members or removed):
             return
         names, addresses = listing.names or {}, listing.addresses or {}
         members = [encode_member(names[m.node], addresses[m.node], m) for m in listing.members]
-        changes = {"revision": listing.revision, "complete": False, "members": members}
+        changes = {"revision": listing.revision, "complete": False, "members": members + removed}
         self.handover.send_update({"listing": changes})
 
+    def _unlisted_members(self, listing: NodeList) -> list[dict[str, object]]:
+        """The known nodes that a list lacks, as removed."""
+        listed = {member.node for member in listing.members}
+        return [
+            encode_member(name, address, member.with_state(State.GONE))
+            for node, (name, address, member) in self.listed_nodes.items()
+            if node not in listed
+        ]
+
     def apply_update(self, update: dict[str, Any]) -> None:
         """Applies an update from another process of this proxy. Its changes to the list leave the own
         revision as it is."""
@@ -340,8 +351,7 @@
             if pool is not None and not unchanged:
                 retired.append(pool)
             if member.state is State.READY and (pool is None or not unchanged or pool.retired):
-                limit = self.settings.limits.connect_timeout_ms
-                self.pools[member.node] = Pool(self, address, limit, self.idle_limit, self.reuse_delay)
+                self.pools[member.node] = self._make_pool(address, pool)
         if kind is not ListKind.DELTA:
             retired.extend(self.pools[node] for node in self.pools.keys() - addresses.keys())
             self.listed_nodes.clear()
@@ -362,6 +372,14 @@
             if any(attempt.is_writing_to(retired) for attempt in active.outstanding_attempts.values()):
                 self._abandon_attempts(active)
 
+    def _make_pool(self, address: Address, earlier: Pool | None) -> Pool:
+        """A pool for a node. What is known of its second responses outlives the node's absence."""
+        limit_ms = self.settings.limits.connect_timeout_ms
+        pool = Pool(self, address, limit_ms, self.idle_limit, self.reuse_delay)
+        if earlier is not None and earlier.address == address:
+            pool.single_use_until = earlier.single_use_until
+        return pool
+
     def removes_all_nodes(self, listing: NodeList) -> bool:
         """Returns whether a complete list is empty although nodes are known."""
         return listing.complete and not listing.members and bool(self.listed_nodes)
--- a/notchflow/policy/balancer.py
+++ b/notchflow/policy/balancer.py
@@ -243,9 +243,9 @@
             or self.budgets.retry_tokens < 1
         ):
             return
-        ((first, sent_at),) = pending.outstanding.values()
+        (first,) = pending.outstanding.values()
         allowed = pending.attempts < pending.max_attempts and self.throttle.pressure() <= 0
-        overtaken = first.newest > (sent_at + now) / 2
+        overtaken = first.node.newest > (first.sent_at + now) / 2
         node = self.placement.pick(now, pending, self.rate_per_ms) if allowed and overtaken else None
         if node is not None:
             self.budgets.retry_tokens -= 1
@@ -275,17 +275,15 @@
             ):
                 timeout_ms = remaining_ms * TRIAL_TIMEOUT_SHARE
         start_before = pending.start_before()
-        pending.outstanding[attempts] = node, now
-        pending.attempts = attempts + 1
-        pending.tried = *pending.tried, node
-        self.fleet.attempt_sent(node, now, pending.cls.name, (pending.request.id, attempts))
+        number = pending.attempt_sent(now, node)
+        self.fleet.attempt_sent(node, now, pending.cls.name, (pending.request.id, number))
         self.actions.append(Send(pending.request.id, node.id, timeout_ms, start_before))
 
     def _outcome(self, now: float, outcome: Outcome) -> None:
         pending = self.pending.get(outcome.id)
         if pending is None or outcome.attempt not in pending.outstanding:
             return
-        node, status = pending.outstanding[outcome.attempt][0], outcome.status
+        node, status = pending.outstanding[outcome.attempt].node, outcome.status
         self.fleet.attempt_ended(now, node, outcome, pending.cls)
         pending.attempt_ended(outcome.attempt, status)
         if status not in INCONCLUSIVE:
--- a/notchflow/policy/fleet.py
+++ b/notchflow/policy/fleet.py
@@ -5,7 +5,7 @@
 import math
 from typing import Final
 
-from notchflow.interface import ListKind, Member, Membership, Outcome, RequestClass, Settings, State
+from notchflow.interface import ListKind, Membership, Outcome, RequestClass, Settings, State
 from notchflow.policy.health import record_class_outcome, record_no_response
 from notchflow.policy.instance_count import has_many_instances
 from notchflow.policy.kinds import Beliefs, Steps, select_estimator
@@ -75,7 +75,7 @@
             listed = {m.node for m in event.members}
             for node in self.nodes.values():
                 if node.id not in listed:
-                    node.member = Member(node.id, State.GONE, node.member.kind, node.member.zone)
+                    node.member = node.member.with_state(State.GONE)
         for member in event.members:
             known = self.nodes.get(member.node)
             if known is None:
@@ -84,8 +84,7 @@
                 known.restart(member)
             else:
                 known.member = member
-        # Replaced machines come with new ids, so gone nodes are removed as soon as no attempt is outstanding.
-        self.nodes = {i: n for i, n in self.nodes.items() if n.in_flight or n.member.state is not State.GONE}
+        self.nodes = {i: n for i, n in self.nodes.items() if self._must_keep(now, n)}
         kind = self.settings.origin_kind
         live = [n for n in self.nodes.values() if n.member.state is READY]
         self.origin = next((n for n in live if n.member.kind == kind), None) if kind is not None else None
@@ -98,6 +97,14 @@
         self.cold_until = max((n.cold_until for n in self.ready), default=-math.inf)
         self.recompute_weights(now)
 
+    def _must_keep(self, now: float, node: Node) -> bool:
+        """Whether a node is listed or may still matter. Replaced machines come with new ids, so most that are
+        gone do not return; one that a list left out by mistake must not get its cold budget anew."""
+        sent_recently = bool(node.cold_send_times) and (
+            node.cold_send_times[-1] > now - self.settings.rules.fall_ms
+        )
+        return node.member.state is not State.GONE or node.in_flight > 0 or sent_recently
+
     def is_cold(self, node: Node, now: float) -> bool:
         """Whether the node is still within its configured warm-up time."""
         return now < node.cold_until
--- a/notchflow/policy/pending.py
+++ b/notchflow/policy/pending.py
@@ -5,14 +5,23 @@
 import math
 from collections.abc import Container, Iterator
 from heapq import heappop, heappush
-from typing import Final
+from typing import Final, NamedTuple
 
-from notchflow.interface import Effect, Group, Request, RequestClass, Status
+from notchflow.interface import Effect, Group, Member, Request, RequestClass, Status
 from notchflow.policy.nodes import READY, SAFE, UNSAFE, Node
 
 WINDOW_MARGIN_MS: Final = 5.0  # by which repeats stop before the nodes' deduplication window ends
 
 
+class SentAttempt(NamedTuple):
+    """An attempt, and its node as listed when it was sent: a later list may name another zone or cell, or
+    none, but the nodes that discard a repeat are those of this one's group."""
+
+    node: Node
+    member: Member
+    sent_at: float
+
+
 class Pending:
     """A request that is not yet answered: its attempts, and which further ones the rules allow."""
 
@@ -34,9 +43,9 @@
     def __init__(self, request: Request, cls: RequestClass, max_attempts: int) -> None:
         self.request, self.cls, self.max_attempts = request, cls, max_attempts
         self.deadline, self.body_incomplete = request.deadline, request.body_incomplete
-        self.outstanding: dict[int, tuple[Node, float]] = {}  # attempt -> node and time of sending
+        self.outstanding: dict[int, SentAttempt] = {}
         self.tried: tuple[Node, ...] = ()
-        self.may_have_run: tuple[tuple[Node, float], ...] = ()
+        self.may_have_run: tuple[SentAttempt, ...] = ()
         self.attempts = 0
         self.done = False
         self.streaming = False
@@ -46,6 +55,14 @@
             window = cls.window_ms - WINDOW_MARGIN_MS if cls.effect is Effect.KEYED else 0.0
             self.repeat_until = request.may_have_run_since + window
 
+    def attempt_sent(self, now: float, node: Node) -> int:
+        """Records the next attempt and returns its number."""
+        number = self.attempts
+        self.outstanding[number] = SentAttempt(node, node.member, now)
+        self.attempts = number + 1
+        self.tried = *self.tried, node
+        return number
+
     def attempt_ended(self, attempt: int, status: Status) -> None:
         """Removes an attempt from the outstanding ones and notes whether it may have run."""
         sent = self.outstanding.pop(attempt)
@@ -56,7 +73,8 @@
         """Returns the time before which an attempt must start: nodes then forget the idempotency key."""
         if self.cls.effect is not Effect.KEYED:
             return self.repeat_until
-        earliest = min((at for _, at in (*self.may_have_run, *self.outstanding.values())), default=math.inf)
+        earlier = (*self.may_have_run, *self.outstanding.values())
+        earliest = min((attempt.sent_at for attempt in earlier), default=math.inf)
         return min(self.repeat_until, earliest + self.cls.window_ms - WINDOW_MARGIN_MS)
 
     def allows(self, node: Node, now: float) -> bool:
@@ -74,7 +92,7 @@
             return not earlier
         if now >= self.start_before():
             return False
-        group, here, others = self.cls.group, node.member, [other.member for other, _ in earlier]
+        group, here, others = self.cls.group, node.member, [attempt.member for attempt in earlier]
         same_zone = group is Group.ALL or all(member.zone == here.zone for member in others)
         return same_zone and (group is not Group.CELL or all(member.cell == here.cell for member in others))
 
--- a/tests/operations/test_handover.py
+++ b/tests/operations/test_handover.py
@@ -304,6 +304,22 @@
     run_with_predecessor(tmp_path, test)
 
 
+def test_nodes_that_a_whole_list_lacks_are_removed_in_all_processes_of_a_proxy(tmp_path: Path) -> None:
+    """Guards against a process that sends to a node whose removal another one of this proxy was told."""
+
+    async def test(rig: Rig, folder: Path, listener: socket.socket) -> None:
+        new = await start_successor(rig, folder, listener)
+        await link_to_successor(rig.host)
+        await wait_until(lambda: rig.host.discovery.calls)
+        _, writer = await rig.discovery_calls.get()
+        writer.write(rig.list_answer(43, True, [rig.entry(0)]))
+        await wait_until(lambda: [len(host.listed_nodes) for host in (rig.host, new)] == [1, 1])
+        assert [len(host.balancer.fleet.ready) for host in (rig.host, new)] == [1, 1]
+        close(new)
+
+    run_with_predecessor(tmp_path, test)
+
+
 def test_connections_to_nodes_are_handed_over(tmp_path: Path) -> None:
     """Guards against a new process that opens a connection per request just as it takes over all clients."""
 
