Stop no process before the requests of a dropped class are answered

What callers saw (review, also seen): a request is lost where a new configuration drops its class and leaves shorter deadlines only, and SIGTERM follows within its time. A request whose client would wait for longer than any class allows was lost with the process as well.

Cause: Host.stop reckoned the time to stop by the classes of then.

Change: what is left to requests in progress counts too, up to the longest deadline that any settings of this process had; what would take longer is answered at the time limit.

Evidence: two tests in tests/crossings/test_settings.py, which fail on the former sources.

--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -65,6 +65,7 @@
             max(config.memory_mb - base, 16.0) * BUFFER_SHARE * (1 << 20)
         )
         self.stop_deadline = float("inf")
+        self.longest_known_deadline_ms = 0.0  # of all settings so far: requests keep their class
         self.lifecycle = Lifecycle()
         self._apply_settings(config)
         self.console = (
@@ -239,6 +240,7 @@
         self.settings = settings = config.settings
         self.classes = {c.name: c.deadline_ms for c in settings.classes}
         self.longest_deadline_ms = max(self.classes.values())
+        self.longest_known_deadline_ms = max(self.longest_known_deadline_ms, self.longest_deadline_ms)
         self.max_attempts = settings.limits.max_attempts
         self.metrics.add_classes(self.classes)
         self.idle_limit.configure(config.conn_idle_ms)
@@ -255,14 +257,24 @@
         log.info("draining")
         if self.handover is not None:
             self.handover.begin_shutdown()
-        self.answer_deadline = now + self.longest_deadline_ms + ANSWER_MARGIN_MS
-        self.stop_deadline = now + self.longest_deadline_ms + STOP_MARGIN_MS
+        remaining_ms = self._longest_remaining_ms(now)
+        self.answer_deadline = now + remaining_ms + ANSWER_MARGIN_MS
+        self.stop_deadline = now + remaining_ms + STOP_MARGIN_MS
+        for active in self.active_requests.values():
+            if active.deadline > self.answer_deadline:
+                self.call_at(self.answer_deadline, self._on_deadline, active.id)
         if successor is not None:
             self.frontend.close_listener()
             self._hand_over_clients()
         else:
             self.call_at(now + ACCEPT_AFTER_STOP_MS, self._drain)
 
+    def _longest_remaining_ms(self, now: float) -> float:
+        """How long requests may take from now on: the longest deadline of the classes, or what is left to a
+        request of a class that the settings have dropped."""
+        last = max((active.deadline for active in self.active_requests.values()), default=now)
+        return max(self.longest_deadline_ms, min(last - now, self.longest_known_deadline_ms))
+
     def is_serving(self) -> bool:
         """Returns whether this process serves clients: from its start until it is told to stop."""
         return self.frontend.listener is not None and self.lifecycle.phase is not Phase.LEAVING
--- a/tests/crossings/test_settings.py
+++ b/tests/crossings/test_settings.py
@@ -23,7 +23,7 @@
 from notchflow.net.node_list import decode_node_list
 from tests.crossings.forced import assert_all_finished
 from tests.crossings.test_client_gone import Gate
-from tests.rig import Rig, run, serve_value, wait_until
+from tests.rig import Rig, intercept_stop, run, serve_value, wait_until
 
 ONE = Settings(
     classes=(RequestClass("look", 300, 4_000), RequestClass("buy", 300, 2_000, effect=Effect.UNSAFE)),
@@ -45,6 +45,8 @@
     rules=Rules(ask_within_ms=3_000.0, drain_grace_ms=700.0, cold_ms=30_000.0, fall_ms=2_000.0),
 )
 
+SHORT = (RequestClass("look", 20, 50),)
+
 
 def derived_state(host: Host) -> dict[str, Any]:
     """All state that is derived from the settings, without what is learned at run time."""
@@ -109,6 +111,51 @@
     run(test())
 
 
+def test_a_request_of_a_class_that_was_dropped_is_answered_before_the_process_ends() -> None:
+    """Guards against a time to stop that is reckoned by the new classes alone."""
+
+    async def test() -> None:
+        gate = Gate(serve_value)
+        rig = Rig(gate)
+        rig.settings = ONE
+        async with rig:
+            ended = intercept_stop(rig.host)
+            client = await rig.connect()
+            client.send(X_Call_Class="look", X_Budget="4.0")
+            await wait_until(lambda: rig.forwarded_count)
+            rig.host.reload(replace(rig.host.config, settings=replace(ONE, classes=SHORT)))
+            rig.host.stop()
+            (active,) = rig.host.active_requests.values()
+            assert active.deadline < rig.host.stop_deadline
+            gate.open.set()
+            response = await client.receive()
+            assert response is not None and response.status == 200
+            await wait_until(lambda: ended)
+
+    run(test())
+
+
+def test_a_request_with_more_time_than_any_class_is_answered_before_the_process_ends() -> None:
+    """Guards against a process that ends over a request whose client would wait for longer."""
+
+    async def test() -> None:
+        gate = Gate(serve_value)
+        rig = Rig(gate)
+        rig.settings = replace(ONE, classes=SHORT)
+        async with rig:
+            ended = intercept_stop(rig.host)
+            client = await rig.connect()
+            client.send(X_Call_Class="look", X_Budget="60.0")
+            await wait_until(lambda: rig.forwarded_count)
+            rig.host.stop()
+            response = await client.receive()
+            assert response is not None and response.status == 503 and not ended
+            gate.open.set()
+            await wait_until(lambda: ended)
+
+    run(test())
+
+
 def test_an_active_request_keeps_its_class_and_later_ones_use_the_new_classes() -> None:
     async def test() -> None:
         gate = Gate(serve_value)
