Read numbers in header fields by the decimal form alone

X-Budget: 1_0 was read as 10 s and served, as Python's float takes underscores; the size in X-Call-Info could be nan or infinite.

--- a/notchflow/net/request_head.py
+++ b/notchflow/net/request_head.py
@@ -8,6 +8,7 @@
 # Matches targets that every parser interprets in the same way, as nearly all are; others are checked by
 # is_unambiguous_target().
 PLAIN_TARGET = re.compile(rb"/api/(?:[A-Za-z0-9_~-]+/)*([A-Za-z0-9_~-]+)")
+DECIMAL_NUMBER = re.compile(rb"[+-]?(?:[0-9]+\.?[0-9]*|\.[0-9]+)(?:[eE][+-]?[0-9]+)?")
 DOT_SEGMENTS = frozenset({b".", b".."})
 
 
@@ -25,16 +26,22 @@
     return b"/." not in path or not DOT_SEGMENTS.intersection(path.split(b"/"))
 
 
+def parse_number(text: bytes) -> float:
+    """Returns a finite decimal number. A ValueError says that the text is none; Python alone would also take
+    digits grouped by underscores, `nan` and `inf`."""
+    if not DECIMAL_NUMBER.fullmatch(text):
+        raise ValueError(f"expected a decimal number, got {text[:40]!r}")
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(f"expected a finite number, got {text[:40]!r}")
+    return value
+
+
 def parse_number_header(fields: dict[bytes, bytes], name: bytes, factor: float) -> float | None:
     """Returns a finite number from a header field, times `factor`, or None if the field is absent. A
     ValueError says that it is not a finite number."""
     raw = fields.get(name)
-    if raw is None:
-        return None
-    value = float(raw) * factor
-    if not math.isfinite(value):
-        raise ValueError("not finite")
-    return value
+    return None if raw is None else parse_number(raw) * factor
 
 
 def parse_info_size(info: bytes) -> float | None:
@@ -43,7 +50,7 @@
         name, _, value = pair.partition(b"=")
         if name.strip() == b"size":
             try:
-                return float(value)
+                return parse_number(value.strip())
             except ValueError:
                 return None
     return None
