Ignore load reports with numbers out of range or deep nesting

load_report let the OverflowError of a number of hundreds of digits and the RecursionError of deep nesting through, so that the end of the attempt never reached the policy; nan and infinite values reached it.

--- a/notchflow/net/attempt.py
+++ b/notchflow/net/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Collection, Sequence
 from typing import Protocol
 
@@ -202,9 +203,10 @@
         return None
     try:
         data = json.loads(raw)
-        return {wire.LOAD_FIELD_NAMES.get(n, n): float(data[n]) for n in names if n in data}
-    except (ValueError, TypeError):
+        report = {wire.LOAD_FIELD_NAMES.get(n, n): float(data[n]) for n in names if n in data}
+    except (ValueError, TypeError, OverflowError, RecursionError):
         return None
+    return report if all(map(math.isfinite, report.values())) else None
 
 
 def _chunk(data: bytes) -> bytes:
