--- a/notchflow/net/attempt.py
+++ b/notchflow/net/attempt.py
@@ -167,10 +167,13 @@
         self._end(Status.MOOT)
 
     def abandon(self, status: Status) -> None:
-        """Ends the attempt with this status. A timeout before the last byte was written becomes
-        CONNECT_FAILED, as the request cannot have run."""
-        if status is Status.TIMEOUT and (self.connection is None or not self.connection.request_sent):
+        """Ends the attempt with this status, corrected by whether the request may have run: before its last
+        byte was written a timeout becomes CONNECT_FAILED, after that CONNECT_FAILED becomes RESET."""
+        written = self.connection is not None and self.connection.request_sent
+        if status is Status.TIMEOUT and not written:
             status = Status.CONNECT_FAILED
+        elif status is Status.CONNECT_FAILED and written:
+            status = Status.RESET
         self._end(status)
 
     def _end(self, status: Status) -> None:
