Keep the fate of a served key through a repeat that is refused

A keyed key that was served, and whose repeat within the window was refused, was told as unknown later: the repeat's intent and outcome replaced the record (review, also seen; by reading). A served record now stays, also if the process dies while the repeat is out. Two cases of tests/effects/test_tracker.py fail on the former sources.

--- a/notchflow/effects/tracker.py
+++ b/notchflow/effects/tracker.py
@@ -185,7 +185,12 @@
         self, key: bytes, fingerprint: bytes, rule: IdempotencyRule, now_ms: int, earlier: Effect | None
     ) -> Start:
         first = earlier.first_ms if earlier is not None else now_ms
-        effect = Effect(Fate.INTENDED, fingerprint, self.boot, first)
+        # A key that was served stays so, whatever becomes of its repeats.
+        effect = (
+            earlier
+            if earlier is not None and earlier.fate is Fate.SERVED
+            else Effect(Fate.INTENDED, fingerprint, self.boot, first)
+        )
         wait = rule.kind is Kind.UNSAFE
         phase = Phase.WRITING if wait else Phase.OUT
         self.active[key] = ActiveKey(phase, rule, fingerprint, effect, earlier is not None)
@@ -226,10 +231,10 @@
         active_key.deleting_record = outcome is Outcome.NEVER_RAN and not active_key.restarted
         if active_key.deleting_record:
             return None
-        fate = Fate.SERVED if outcome is Outcome.SERVED else Fate.FAILED
-        active_key.effect = replace(
-            active_key.effect, fate=fate, status=status if outcome is Outcome.SERVED else 0
-        )
+        if outcome is Outcome.SERVED:
+            active_key.effect = replace(active_key.effect, fate=Fate.SERVED, status=status)
+        elif active_key.effect.fate is not Fate.SERVED:
+            active_key.effect = replace(active_key.effect, fate=Fate.FAILED, status=0)
         return active_key.effect
 
     def outcome_written(self, key: bytes, active_key: ActiveKey) -> None:
--- a/tests/effects/test_tracker.py
+++ b/tests/effects/test_tracker.py
@@ -126,6 +126,21 @@
     assert tracker.request_ended(b"k", Outcome.NEVER_RAN, 503) == Effect(Fate.FAILED, ONE, 7, 1000)
 
 
+@pytest.mark.parametrize("outcome", [Outcome.NEVER_RAN, Outcome.FAILED])
+def test_a_key_that_was_served_stays_so_whatever_becomes_of_its_repeat(outcome: Outcome) -> None:
+    """Guards against telling a client that a write's fate is unknown, after it was told of success."""
+    served = Effect(Fate.SERVED, ONE, 7, 1000, 200)
+    tracker = IdempotencyTracker(7)
+    tracker.request_arrived(b"k", ONE, KEYED, 1500, True)
+    decision = tracker.record_read(b"k", served, 1500)
+    assert decision == Start(served, False, 1000), "the record says so too, if the process dies now"
+    active_key = tracker.active[b"k"]
+    assert tracker.request_ended(b"k", outcome, 503) == served
+    tracker.outcome_written(b"k", active_key)
+    tracker.request_arrived(b"k", ONE, KEYED, 5000, True)
+    assert tracker.record_read(b"k", served, 5000) == Replay(200)
+
+
 def test_a_different_request_under_a_known_key_is_rejected() -> None:
     tracker = IdempotencyTracker(7)
     tracker.request_arrived(b"k", OTHER, UNSAFE, 1500, True)
