Take over an operator file whole or not at all where classes outlast effects

At SIGHUP new classes are held against the section effects in force, as the file's own waits for the next start. It is looked for first now, and the log names the class and the remedy. The new test of tests/hosting/test_effects.py fails on the former sources.

--- a/notchflow/hosting/derived.py
+++ b/notchflow/hosting/derived.py
@@ -29,15 +29,21 @@
 
 
 def effect_rules(file: OperatorFile) -> dict[str, IdempotencyRule]:
-    """For each class with effects, how long its idempotency keys are remembered."""
+    """For each class with effects, how long its idempotency keys are remembered. A ValueError names a class
+    whose window outlasts that."""
     rules: dict[str, IdempotencyRule] = {}
     for c in file.classes:
         kind = EFFECTS[c.effect]
         if file.effects is not None and kind is not Effect.SAFE:
             keep_s = file.effects.unsafe_s if kind is Effect.UNSAFE else file.effects.keyed_s
-            rules[c.name] = IdempotencyRule(
-                kind, int(keep_s * 1e3), c.window_ms if kind is Effect.KEYED else 0.0
-            )
+            window_ms = c.window_ms if kind is Effect.KEYED else 0.0
+            try:
+                rules[c.name] = IdempotencyRule(kind, int(keep_s * 1e3), window_ms)
+            except ValueError as error:
+                raise ValueError(
+                    f"class {c.name!r}, with the section `effects` that this process began with: {error}; "
+                    "shorten the window, or restart the service"
+                ) from None
     return rules
 
 
--- a/notchflow/hosting/service.py
+++ b/notchflow/hosting/service.py
@@ -228,7 +228,9 @@
         """Reloads the operator file; returns, and logs, the changed settings that need a restart."""
         try:
             file = load(self.file.path)
-        except InvalidFileError as error:
+            # Classes change now, the section `effects` with the next start: together they must be valid too.
+            rules = effect_rules(replace(file, effects=self.file.effects))
+        except (InvalidFileError, ValueError) as error:
             log.error("the operator file stays as it was: %s", error)
             self.host.metrics.cfg_invalid += 1
             return []
@@ -278,7 +280,7 @@
         self.operations.defaults = api_defaults(file)
         self.admission.settings = admission_settings(file)
         if self.host.keeper is not None:
-            self.host.keeper.rules = effect_rules(replace(file, effects=self.file.effects))
+            self.host.keeper.rules = rules
         self.admin.limiter.limits = replace(
             self.admin.limiter.limits,
             body_max=file.admin.body_max,
--- a/tests/hosting/test_effects.py
+++ b/tests/hosting/test_effects.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import random
+import signal
 from collections import Counter
 from pathlib import Path
 
@@ -265,3 +266,29 @@
             assert process.returncode == 1 and errors.startswith(b"notchflow: ")
 
     run(test(), 40)
+
+
+def test_classes_that_the_effects_in_force_do_not_allow_change_nothing(tmp_path: Path) -> None:
+    """Guards against a file of which half is in force: its own section `effects` waits for the next start."""
+
+    async def test() -> None:
+        async with Service(tmp_path, serve_value, service=EFFECTS_SECTION) as service:
+            await service.add("alfa")
+            text = service.file.read_text()
+            new_class = """
+[[classes]]
+name = "fresh"
+aim_ms = 500.0
+deadline_ms = 900.0
+effect = "keyed"
+window_ms = 700_000.0
+"""
+            longer = text.replace("keyed_s = 600.0", "keyed_s = 6000.0") + new_class
+            service.file.write_text(longer.replace('path = "/menus/{day}"', 'path = "/cartas/{day}"'))
+            service.signal(signal.SIGHUP)
+            await wait_until(lambda: "stays as it was" in service.log)
+            assert "'fresh'" in service.log and "restart the service" in service.log
+            assert (await service.ask("alfa", path="/menus/d1")).status == 200
+            assert "Traceback" not in service.log
+
+    run(test(), 40)
