Wait for a connection that may soon be reused rather than dial another

Discovery's calls wait in the same way, so that the wait of their own is gone. When a node's connections become single use, those that are idle are closed too.

Tests: tests/test_reuse.py, what ends the wait: the end of the delay, a second response, a close, a drain, a client that leaves.

--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -159,7 +159,7 @@
                 case StartCall(number, revision, wait_ms):
                     query = b"" if revision is None else b"?index=%d&wait=%d" % (revision, wait_ms)
                     self.calls[number] = call = DiscoveryCall(self, number, REQUEST % query)
-                    self._start_call(call)
+                    self.pool.send(call, self.host.clock.now())
                 case CancelCall(number):
                     self.calls.pop(number).drop()
                 case ApplyList(node_list, kind):
@@ -171,19 +171,6 @@
                         self.host.dispatch(Membership(ListKind.FAILED))
         self._arm()
 
-    def _start_call(self, call: DiscoveryCall) -> None:
-        """Starts a call, once the connection of the call before it may be reused, so that a watch need not
-        dial for each of its calls."""
-        now = self.host.clock.now()
-        if wait_ms := self.pool.reuse_wait_ms(now):
-            self.host.call_at(now + wait_ms, self._send_call, call)
-        else:
-            call.pool.send(call, now)
-
-    def _send_call(self, call: DiscoveryCall) -> None:
-        if not call.ended:
-            call.pool.send(call, self.host.clock.now())
-
     def _arm(self) -> None:
         due = self.list_watch.wake_at
         if self.timer is not None:
--- a/notchflow/net/pool.py
+++ b/notchflow/net/pool.py
@@ -8,9 +8,10 @@
 import socket
 from bisect import insort
 
+from notchflow.net import reuse
 from notchflow.net.connection import Connection, Exchange, IdleLimit
 from notchflow.net.exchange import ConnectionHost
-from notchflow.net.reuse import MEMORY_MS, ReuseDelay
+from notchflow.net.reuse import ReuseDelay
 from notchflow.net.timers import TimerId
 
 log = logging.getLogger(__name__)
@@ -29,6 +30,7 @@
         "single_use_until",
         "idle",
         "dials",
+        "awaited",
         "adopting",
         "retired",
     )
@@ -49,6 +51,8 @@
         self.single_use_until = 0.0  # until then each connection serves a single exchange
         self.idle: list[Connection] = []
         self.dials: dict[Connection, tuple[asyncio.Task[None], Exchange, TimerId]] = {}
+        # Idle connections that may be reused soon, each with the exchange that waits for it.
+        self.awaited: dict[Connection, tuple[Exchange, TimerId]] = {}
         self.adopting: dict[Connection, asyncio.Task[None]] = {}
         self.retired = False
 
@@ -61,6 +65,8 @@
         if connection is not None:
             connection.start(exchange, now, now - connection.idle_since)
             return
+        if self._await_reuse(exchange, now):
+            return
         if not self.host.acquire_descriptor():
             exchange.await_descriptor()
             return
@@ -80,19 +86,44 @@
                 return None
             if connection.idle_since > reusable_since or connection.is_closing():
                 continue
+            if connection in self.awaited:
+                continue
             del self.idle[index]
             if not connection.has_unread_input():
                 return connection
             connection.close()  # an unsolicited response, or the node's close
         return None
 
-    def reuse_wait_ms(self, now: float) -> float:
-        """Returns the time in milliseconds until the connection that became idle last may be reused; 0 if
-        there is nothing to wait for."""
+    def _await_reuse(self, exchange: Exchange, now: float) -> bool:
+        """Makes an exchange wait for a connection that may be reused soon, which costs the node less than a
+        new one. Returns whether there is one that no other exchange waits for."""
         delay_ms = self.reuse_delay.delay_ms(now)
-        if not self.idle or delay_ms > self.idle_limit.limit_ms:
-            return 0.0
-        return max(0.0, self.idle[-1].idle_since + delay_ms - now)
+        if delay_ms > self.idle_limit.limit_ms:
+            return False
+        for connection in self.idle:
+            reusable_at = connection.idle_since + delay_ms
+            if reusable_at > now + reuse.MIN_REUSE_DELAY_MS:
+                return False
+            if reusable_at > now and connection not in self.awaited and not connection.is_closing():
+                timer_id = self.host.call_at(reusable_at, self._reuse_awaited, connection)
+                self.awaited[connection] = exchange, timer_id
+                return True
+        return False
+
+    def _reuse_awaited(self, connection: Connection) -> None:
+        """An awaited connection may be reused, or is closed: sends the exchange, on that one or another."""
+        waiting = self.awaited.pop(connection, None)
+        if waiting is None:
+            return
+        exchange, timer_id = waiting
+        self.host.timers.cancel(timer_id)
+        now = self.host.clock.now()
+        if self.retired:
+            exchange.connection_failed(False)
+        elif exchange.may_start(now):
+            self.send(exchange, now)
+        else:
+            exchange.not_sent()
 
     def unsolicited_response(self, connection: Connection) -> None:
         """A response has arrived on a connection without an exchange."""
@@ -102,12 +133,14 @@
             return  # its exchange was abandoned, or it would not have been reused
         self.host.count_unsolicited_response()
         if self.reuse_delay.record_unsolicited(now, idle_ms):
-            self.single_use_until = now + MEMORY_MS
+            self.single_use_until = now + reuse.MEMORY_MS
+            for idle in list(self.idle):
+                idle.close()
             log.warning(
                 "an unsolicited response from %s:%d after %.0f ms: its connections are not reused for %.0f s",
                 *self.address,
                 idle_ms,
-                MEMORY_MS / 1e3,
+                reuse.MEMORY_MS / 1e3,
             )
 
     async def _dial(self, connection: Connection) -> None:
@@ -191,13 +224,18 @@
             connection.start(exchange, now)
 
     def cancel_dial(self, exchange: Exchange) -> None:
-        """Cancels the dial that was made for this exchange."""
+        """Cancels the dial that was made for this exchange, or its wait for a connection."""
         for connection, (task, waiting, timer_id) in self.dials.items():
             if waiting is exchange:
                 del self.dials[connection]
                 self.host.timers.cancel(timer_id)
                 task.cancel()
                 return
+        for connection, (waiting, timer_id) in self.awaited.items():
+            if waiting is exchange:
+                del self.awaited[connection]
+                self.host.timers.cancel(timer_id)
+                return
 
     def release(self, connection: Connection) -> None:
         """An exchange has ended: keeps its connection idle, unless a dial elsewhere waits for a
@@ -216,6 +254,7 @@
         self.adopting.pop(connection, None)
         if connection in self.idle:
             self.idle.remove(connection)
+        self._reuse_awaited(connection)
 
     def close_expired(self, now: float) -> None:
         """Closes connections that have been idle longer than the limit; all, if the pool is retired."""
@@ -234,6 +273,10 @@
         for connection, (task, _, _) in list(self.dials.items()):
             task.cancel()
             self._dial_failed(connection)
+        for connection, (exchange, timer_id) in list(self.awaited.items()):
+            del self.awaited[connection]
+            self.host.timers.cancel(timer_id)
+            exchange.connection_failed(False)
 
     def retire(self) -> None:
         """Starts no new exchange; those that are under way may finish."""
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -294,7 +294,13 @@
         """Waits until every idle connection of this host (the rig's by default) to a node may carry its next
         request."""
         of = host or self.host
-        await wait_until(lambda: not any(p.reuse_wait_ms(of.clock.now()) for p in of.pools.values()))
+
+        def all_reusable() -> bool:
+            now = of.clock.now()
+            reusable_since = now - of.reuse_delay.delay_ms(now)
+            return all(c.idle_since <= reusable_since for pool in of.pools.values() for c in pool.idle)
+
+        await wait_until(all_reusable)
 
     @property
     def forwarded_count(self) -> int:
--- a/tests/test_reuse.py
+++ b/tests/test_reuse.py
@@ -11,9 +11,11 @@
 
 from notchflow.net import reuse
 from notchflow.net.discovery import IDLE_TIMEOUT_MS
+from notchflow.net.pool import Pool
 from notchflow.net.reuse import LATENESS_MARGIN, MAX_REUSE_DELAY_MS, MEMORY_MS, MIN_REUSE_DELAY_MS, ReuseDelay
+from tests.crossings.forced import assert_all_finished
 from tests.door.hosted import HostedRig
-from tests.rig import HttpMessage, Rig, answer, run, serve_value, wait_until
+from tests.rig import Client, HttpMessage, Rig, answer, run, serve_value, wait_until
 
 REFUSAL = answer(b"", "503 Service Unavailable", X_Rejected="1")
 NEVER_MS = 3_600_000.0
@@ -253,3 +255,75 @@
     assert delay.delay_ms(2.0 + MEMORY_MS) == MIN_REUSE_DELAY_MS
     assert delay.record_unsolicited(0.0, 0.6 * MAX_REUSE_DELAY_MS), "later than any delay"
     assert delay.delay_ms(1.0) == MAX_REUSE_DELAY_MS
+
+
+async def begin_awaiting(rig: Rig) -> tuple[Client, Pool]:
+    """A client whose request waits for the only connection to the only node to become reusable."""
+    first, second = await rig.connect(), await rig.connect()
+    assert (await first.request()).status == 200
+    (pool,) = rig.host.pools.values()
+    second.send(path="/api/bb")
+    await wait_until(lambda: pool.awaited)
+    return second, pool
+
+
+def test_a_request_waits_for_a_connection_that_may_soon_be_reused(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a new connection for each request that follows another closely."""
+    monkeypatch.setattr(reuse, "MIN_REUSE_DELAY_MS", 500.0)
+
+    async def test() -> None:
+        async with Rig() as rig:
+            client, pool = await begin_awaiting(rig)
+            response = await client.receive()
+            assert response is not None and response.body == b"value of /api/bb"
+            assert rig.nodes[0].connections == 1 and not pool.awaited
+            await assert_all_finished(rig)
+
+    run(test())
+
+
+def test_a_second_request_does_not_wait_for_the_same_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a queue of requests in front of one connection."""
+    monkeypatch.setattr(reuse, "MIN_REUSE_DELAY_MS", 500.0)
+
+    async def test() -> None:
+        async with Rig() as rig:
+            client, _ = await begin_awaiting(rig)
+            assert (await rig.request(path="/api/cc")).body == b"value of /api/cc"
+            assert rig.nodes[0].connections == 2
+            response = await client.receive()
+            assert response is not None and response.body == b"value of /api/bb"
+
+    run(test())
+
+
+@pytest.mark.parametrize("event", ["second response", "close", "drain", "client gone"])
+def test_what_ends_the_wait_for_a_connection(event: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a request that is forgotten, sent to a draining node or for a client that has left."""
+    monkeypatch.setattr(reuse, "MIN_REUSE_DELAY_MS", 1_000.0)
+
+    async def test() -> None:
+        async with Rig() as rig:
+            client, pool = await begin_awaiting(rig)
+            (writer,) = rig.nodes[0].open
+            if event == "second response":
+                writer.write(answer(b"value of another"))
+            elif event == "close":
+                writer.close()
+            elif event == "client gone":
+                client.reset()
+                await wait_until(lambda: not rig.host.active_requests)
+                assert not pool.awaited
+            else:
+                drained = [rig.entry(0, phase="draining")]
+                _, discovery = await rig.discovery_calls.get()
+                discovery.write(rig.list_answer(43, False, drained))
+            if event != "client gone":
+                response = await client.receive()
+                assert response is not None
+                assert response.status == (503 if event == "drain" else 200)
+                assert response.body == (b"" if event == "drain" else b"value of /api/bb")
+            assert rig.forwarded_count == (1 if event in ("drain", "client gone") else 2)
+            await assert_all_finished(rig)
+
+    run(test())
