--- a/notchflow/net/attempt.py
+++ b/notchflow/net/attempt.py
@@ -74,12 +74,16 @@
         self.request_incomplete = False
 
     def request_data(self, now: float) -> list[bytes]:
-        """The bytes to send. X-Budget is the time that this attempt has left."""
+        """The bytes to send. X-Budget is the time that this attempt has left; while the body is still
+        arriving, that is what the client allows from its last byte on."""
         request = self.request.client_request
+        left_ms = self.expires_at - now
         if request.streams_body:
             self.request_incomplete = not request.body_complete
             request.client.set_body_wanted(True)
-        left = max(self.expires_at - now, 1.0) / 1e3
+            if self.request_incomplete:
+                left_ms = min(left_ms, self.request.budget_ms)
+        left = max(left_ms, 1.0) / 1e3
         head = b"%b %b HTTP/1.1\r\nX-Budget: %.3f\r\n%b\r\n"
         data = [
             head % (request.method, request.url, left, b"".join(request.forwarded_headers)),
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -382,6 +382,29 @@
     run(test())
 
 
+def test_a_node_is_told_no_more_time_than_the_client_allows_after_the_body() -> None:
+    """Guards against a budget that includes the time for the body."""
+    heads: list[str] = []
+
+    async def records_head(node: BodyNode, head: str, *streams: Any) -> None:
+        heads.append(head.lower())
+        await reads_all(node, head, *streams)
+
+    async def test() -> None:
+        async with BodyRig(records_head) as rig:
+            client = await rig.connect()
+            client.send(**PUT, x_budget="1.5", content_length=str(MB))
+            await send_body(client, body_of(MB // 2))
+            await wait_until(lambda: heads)
+            await send_body(client, body_of(MB // 2))
+            response = await client.receive()
+            assert response is not None and response.status == 200
+            (told,) = [line for line in heads[0].split("\r\n") if line.startswith("x-budget: ")]
+            assert 0 < float(told.partition(": ")[2]) <= 1.5
+
+    run(test())
+
+
 def test_no_hedge_is_sent_while_a_body_is_still_arriving() -> None:
     balancer = make_balancer()
     for number in range(40):  # learns the usual latency
