--- a/notchflow/net/connection.py
+++ b/notchflow/net/connection.py
@@ -1,91 +1,28 @@
-"""A connection to a node, which carries one exchange at a time and parses its response, and the limit on its
-idle time."""
+"""A connection to a node, which carries one exchange at a time and parses its response."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
 import select
-from bisect import bisect_right
 from collections.abc import Sequence
 from typing import Protocol, cast
 
 from httptools import HttpParserError, HttpResponseParser
 
 from notchflow.net.exchange import HOP_BY_HOP, ConnectionHost, UpstreamResponse
+from notchflow.net.idle_limit import IdleLimit
 from notchflow.net.polling import pending_events
 
 log = logging.getLogger(__name__)
 
 MAX_HEAD_BYTES = 32 << 10
 MAX_RESPONSE_BYTES = 32 << 20  # no value is longer: more is a fault of the node, and another one may serve
-USABLE_IDLE_SHARE = 0.7  # of the idle time that the settings state
 STALE_CONNECTION_MS = 50.0  # a reused connection that fails this soon was closed while idle
-IDLE_BUCKETS_MS = (0.0, 20.0, 30.0, 45.0, 70.0, 100.0, 150.0, 225.0, 340.0, 500.0, 1_000.0, 2_000.0, 5_000.0)
-DIAL_COST = 0.15  # of a new connection, in failed requests
-MIN_GAIN = 2.0  # failed requests that a lower limit must save
-DECAY_INTERVAL_MS = 30_000.0
 RESPONSE_START, END_OF_HEAD = b"HTTP/1.", b"\r\n\r\n"
 CONSUMED_HEADERS = frozenset({b"x-rejected", b"x-hit", b"x-load-report"})
 
 
-class IdleLimit:
-    """How long a connection may have been idle and still be reused.
-
-    Nodes may close idle connections earlier than the settings say. A request sent at that moment ends as a
-    reset, and fails if it must not run twice. On a bad network, however, connections of any age break, and
-    dialling new ones only costs more: so the limit depends on how many more reuses fail than on connections
-    that were idle for a shorter time. All nodes run the same program, so that one limit serves them all.
-    """
-
-    __slots__ = ("configured_ms", "limit_ms", "uses", "failures", "decayed_at")
-
-    def __init__(self, conn_idle_ms: float) -> None:
-        self.configured_ms = self.limit_ms = USABLE_IDLE_SHARE * conn_idle_ms
-        self.uses = [0.0] * (len(IDLE_BUCKETS_MS) + 1)
-        self.failures = [0.0] * (len(IDLE_BUCKETS_MS) + 1)
-        self.decayed_at = 0.0
-
-    def configure(self, conn_idle_ms: float) -> None:
-        """Applies the idle time that the settings now state, in milliseconds."""
-        self.configured_ms = USABLE_IDLE_SHARE * conn_idle_ms
-        self.limit_ms = min(self.limit_ms, self.configured_ms)
-        self._update_limit()
-
-    def record_use(self, idle_ms: float | None, failed: bool) -> None:
-        """Counts a use of a connection, whether it failed, and for how long it was idle; none for a new
-        one."""
-        self.uses[0 if idle_ms is None else bisect_right(IDLE_BUCKETS_MS, idle_ms)] += 1
-        if failed:
-            self.failures[0 if idle_ms is None else bisect_right(IDLE_BUCKETS_MS, idle_ms)] += 1
-            self._update_limit()
-
-    def decay(self, now: float) -> None:
-        """Halves the counts every DECAY_INTERVAL_MS, so that old failures are forgotten."""
-        if now >= self.decayed_at + DECAY_INTERVAL_MS:
-            self.decayed_at = now
-            self.uses = [n / 2 for n in self.uses]
-            self.failures = [n / 2 for n in self.failures]
-            self._update_limit()
-
-    def _update_limit(self) -> None:
-        """Sets the limit to the idle time beyond which dialling instead saves the most failures, if the gain
-        is significant."""
-        best, limit_ms = (
-            (MIN_GAIN / 2 if self.limit_ms < self.configured_ms else MIN_GAIN),
-            self.configured_ms,
-        )
-        uses, failures = self.uses[0], self.failures[0]
-        old_uses, old_failures = sum(self.uses) - uses, sum(self.failures) - failures
-        for step, idle_ms in enumerate(IDLE_BUCKETS_MS, 1):
-            gain = old_failures - old_uses * (failures / max(uses, 1.0) + DIAL_COST)
-            if gain >= best:
-                best, limit_ms = gain, idle_ms
-            uses, failures = uses + self.uses[step], failures + self.failures[step]
-            old_uses, old_failures = old_uses - self.uses[step], old_failures - self.failures[step]
-        self.limit_ms = min(limit_ms, self.configured_ms)
-
-
 class Exchange(Protocol):
     """One request and its response on an upstream connection. `response_received` or `connection_failed` ends
     it, once."""
--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -9,8 +9,9 @@
 
 from notchflow.interface import ListKind, Membership
 from notchflow.net.clock import Clock
-from notchflow.net.connection import Connection, IdleLimit
+from notchflow.net.connection import Connection
 from notchflow.net.exchange import DiscoveryHost, UpstreamResponse
+from notchflow.net.idle_limit import IdleLimit
 from notchflow.net.node_list import Address, NodeList, decode_node_list, node_id, parse_address
 from notchflow.net.pool import Pool
 from notchflow.net.reuse import ReuseDelay
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -11,13 +11,13 @@
 from notchflow.interface import ListKind, Member, Membership, SettingsChanged, State, Status
 from notchflow.net.clock import Clock
 from notchflow.net.config import Config
-from notchflow.net.connection import IdleLimit
 from notchflow.net.console import Console, connection_limit
 from notchflow.net.discovery import Discovery
 from notchflow.net.dispatcher import Dispatcher
 from notchflow.net.exchange import Gateway
 from notchflow.net.frontend import Frontend
 from notchflow.net.handover import MAX_DESCRIPTORS_PER_FRAME, Handover, HandoverLink
+from notchflow.net.idle_limit import IdleLimit
 from notchflow.net.node_list import Address, NodeList, decode_node_list, encode_member
 from notchflow.net.pool import Pool
 from notchflow.net.reuse import ReuseDelay
--- a/notchflow/net/pool.py
+++ b/notchflow/net/pool.py
@@ -6,11 +6,12 @@
 import logging
 import os
 import socket
-from bisect import insort
+from bisect import bisect_right, insort
 
 from notchflow.net import reuse
-from notchflow.net.connection import Connection, Exchange, IdleLimit
+from notchflow.net.connection import Connection, Exchange
 from notchflow.net.exchange import ConnectionHost
+from notchflow.net.idle_limit import IdleLimit
 from notchflow.net.reuse import ReuseDelay
 from notchflow.net.timers import TimerId
 
@@ -77,16 +78,14 @@
 
     def _take_idle(self, now: float) -> Connection | None:
         """Removes and returns the connection that became idle last among those that may be reused."""
-        reusable_since = now - self.reuse_delay.delay_ms(now)
         expired_since = now - self.idle_limit.limit_ms
-        for index in range(len(self.idle) - 1, -1, -1):
+        reusable_since = now - self.reuse_delay.delay_ms(now)
+        for index in range(bisect_right(self.idle, reusable_since, key=_idle_since) - 1, -1, -1):
             connection = self.idle[index]
             if connection.idle_since < expired_since:
                 self.close_expired(now)
                 return None
-            if connection.idle_since > reusable_since or connection.is_closing():
-                continue
-            if connection in self.awaited:
+            if connection.is_closing() or connection in self.awaited:
                 continue
             del self.idle[index]
             if not connection.has_unread_input():
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -6,7 +6,7 @@
 import random
 
 from notchflow.interface import Outcome, Status
-from notchflow.net.connection import DECAY_INTERVAL_MS, IdleLimit
+from notchflow.net.idle_limit import DECAY_INTERVAL_MS, IdleLimit
 from tests.rig import HttpMessage, Rig, answer, run, serve_value, wait_until
 
 
