--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -10,11 +10,12 @@
 from notchflow.interface import ListKind, Membership
 from notchflow.net.clock import Clock
 from notchflow.net.connection import Connection
+from notchflow.net.dial_cost import DialCost
 from notchflow.net.exchange import DiscoveryHost, UpstreamResponse
 from notchflow.net.idle_limit import IdleLimit
 from notchflow.net.node_list import Address, NodeList, decode_node_list, node_id, parse_address
 from notchflow.net.pool import Pool
-from notchflow.net.reuse import ReuseDelay
+from notchflow.net.reuse import MAX_REUSE_DELAY_MS, ReuseDelay
 from notchflow.net.timers import TimerId, TimerWheel
 from notchflow.net.watch import ApplyList, CancelCall, ListWatch, ReportFailure, StartCall, WatchAction
 
@@ -136,7 +137,13 @@
 
     def _pool(self, address: Address) -> Pool:
         return Pool(
-            self.connection_host, address, CONNECT_TIMEOUT_MS, IdleLimit(IDLE_TIMEOUT_MS), ReuseDelay()
+            self.connection_host,
+            address,
+            CONNECT_TIMEOUT_MS,
+            IdleLimit(IDLE_TIMEOUT_MS),
+            ReuseDelay(),
+            DialCost(),
+            patience_ms=MAX_REUSE_DELAY_MS,  # a watch goes on over one connection
         )
 
     def call_ended(self, number: int, node_list: NodeList | None, problem: str) -> None:
--- a/notchflow/net/pool.py
+++ b/notchflow/net/pool.py
@@ -7,9 +7,11 @@
 import os
 import socket
 from bisect import bisect_right, insort
+from typing import NamedTuple
 
 from notchflow.net import reuse
 from notchflow.net.connection import Connection, Exchange
+from notchflow.net.dial_cost import DialCost
 from notchflow.net.exchange import ConnectionHost
 from notchflow.net.idle_limit import IdleLimit
 from notchflow.net.reuse import ReuseDelay
@@ -18,6 +20,15 @@
 log = logging.getLogger(__name__)
 
 
+class Dial(NamedTuple):
+    """A connection that is being established, and the exchange that it is for."""
+
+    task: asyncio.Task[None]
+    exchange: Exchange
+    timer_id: TimerId
+    begun_at: float
+
+
 class Pool:
     """The connections to one address. Of those that may be reused, the one that became idle last is used
     first, so that the others expire."""
@@ -31,6 +42,8 @@
         "single_use_until",
         "idle",
         "dials",
+        "dial_cost",
+        "patience_ms",
         "awaited",
         "adopting",
         "retired",
@@ -43,6 +56,8 @@
         connect_timeout_ms: float,
         idle_limit: IdleLimit,
         reuse_delay: ReuseDelay,
+        dial_cost: DialCost,
+        patience_ms: float = 0.0,
     ) -> None:
         self.host = host
         self.address = address
@@ -51,7 +66,9 @@
         self.reuse_delay = reuse_delay
         self.single_use_until = 0.0  # until then each connection serves a single exchange
         self.idle: list[Connection] = []
-        self.dials: dict[Connection, tuple[asyncio.Task[None], Exchange, TimerId]] = {}
+        self.dials: dict[Connection, Dial] = {}
+        self.dial_cost = dial_cost
+        self.patience_ms = patience_ms  # an exchange waits so long, however quick a dial is
         # Idle connections that may be reused soon, each with the exchange that waits for it.
         self.awaited: dict[Connection, tuple[Exchange, TimerId]] = {}
         self.adopting: dict[Connection, asyncio.Task[None]] = {}
@@ -74,7 +91,7 @@
         connection = Connection(self)
         task = self.host.loop.create_task(self._dial(connection))
         timer_id = self.host.call_at(now + self.connect_timeout_ms, self._connect_timed_out, connection)
-        self.dials[connection] = task, exchange, timer_id
+        self.dials[connection] = Dial(task, exchange, timer_id, now)
 
     def _take_idle(self, now: float) -> Connection | None:
         """Removes and returns the connection that became idle last among those that may be reused."""
@@ -94,14 +111,15 @@
         return None
 
     def _await_reuse(self, exchange: Exchange, now: float) -> bool:
-        """Makes an exchange wait for a connection that may be reused soon, which costs the node less than a
-        new one. Returns whether there is one that no other exchange waits for."""
+        """Makes an exchange wait for a connection that may be reused sooner than a new one answers. Returns
+        whether there is one that no other exchange waits for."""
         delay_ms = self.reuse_delay.delay_ms(now)
         if delay_ms > self.idle_limit.limit_ms:
             return False
+        latest = now + max(self.dial_cost.total_ms, self.patience_ms)
         for connection in self.idle:
             reusable_at = connection.idle_since + delay_ms
-            if reusable_at > now + reuse.MIN_REUSE_DELAY_MS:
+            if reusable_at > latest:
                 return False
             if reusable_at > now and connection not in self.awaited and not connection.is_closing():
                 timer_id = self.host.call_at(reusable_at, self._reuse_awaited, connection)
@@ -153,14 +171,15 @@
 
     def _connect_timed_out(self, connection: Connection) -> None:
         if connection in self.dials:
-            self.dials[connection][0].cancel()
+            self.dials[connection].task.cancel()
             self._dial_failed(connection)
 
     def _dial_failed(self, connection: Connection) -> None:
         dial = self.dials.pop(connection, None)
         if dial is not None:
-            self.host.timers.cancel(dial[2])
-            dial[1].connection_failed(False)
+            self.dial_cost.record_dial(self.host.clock.now() - dial.begun_at)
+            self.host.timers.cancel(dial.timer_id)
+            dial.exchange.connection_failed(False)
 
     def _release_descriptor(self, connection: Connection) -> None:
         if connection.holds_descriptor:
@@ -211,8 +230,9 @@
             connection.close()
             connection.transport = None  # connection_lost is not called for a cancelled dial
             return
-        exchange, timer_id = dial[1], dial[2]
-        self.host.timers.cancel(timer_id)
+        self.dial_cost.record_dial(self.host.clock.now() - dial.begun_at)
+        exchange = dial.exchange
+        self.host.timers.cancel(dial.timer_id)
         if self.retired:
             connection.close()
             exchange.connection_failed(False)
@@ -224,11 +244,11 @@
 
     def cancel_dial(self, exchange: Exchange) -> None:
         """Cancels the dial that was made for this exchange, or its wait for a connection."""
-        for connection, (task, waiting, timer_id) in self.dials.items():
-            if waiting is exchange:
+        for connection, dial in self.dials.items():
+            if dial.exchange is exchange:
                 del self.dials[connection]
-                self.host.timers.cancel(timer_id)
-                task.cancel()
+                self.host.timers.cancel(dial.timer_id)
+                dial.task.cancel()
                 return
         for connection, (waiting, timer_id) in self.awaited.items():
             if waiting is exchange:
@@ -269,8 +289,8 @@
     def cancel_dials(self) -> None:
         """Fails the exchanges that wait for a connection, so that they are retried elsewhere: none may start
         at a node that has begun to drain."""
-        for connection, (task, _, _) in list(self.dials.items()):
-            task.cancel()
+        for connection, dial in list(self.dials.items()):
+            dial.task.cancel()
             self._dial_failed(connection)
         for connection, (exchange, timer_id) in list(self.awaited.items()):
             del self.awaited[connection]
