Wait for a resting connection until that has cost as much as a dial

What a dial costs its node does not show in its time or its first exchange, so DialCost waited too seldom where waiting is cheap. A pool now adds up what its requests have waited since its last dial, and dials once that reaches 200 ms (the ski-rental rule).

--- a/notchflow/net/connection.py
+++ b/notchflow/net/connection.py
@@ -10,7 +10,6 @@
 
 from httptools import HttpParserError, HttpResponseParser
 
-from notchflow.net.dial_cost import DialCost
 from notchflow.net.exchange import HOP_BY_HOP, ConnectionHost, UpstreamResponse
 from notchflow.net.idle_limit import IdleLimit
 from notchflow.net.polling import pending_events
@@ -68,7 +67,6 @@
 
     host: ConnectionHost
     idle_limit: IdleLimit
-    dial_cost: DialCost
 
     def opened(self, connection: Connection) -> None:
         """The connection has been established."""
@@ -291,7 +289,6 @@
         response, sent = self.response, self.request_sent
         reusable = sent and self.keep_alive and not self.unexpected_data
         self.pool.idle_limit.record_use(self.idle_ms, False)
-        self.pool.dial_cost.record_exchange(response.begun_at - self.begun_at, self.idle_ms is None)
         if reusable and self.transport is not None and not self.transport.is_closing():
             self.pool.release(self)
         else:
--- a/notchflow/net/discovery.py
+++ b/notchflow/net/discovery.py
@@ -6,16 +6,16 @@
 import json
 import logging
 from collections.abc import Callable
+from math import inf
 
 from notchflow.interface import ListKind, Membership
 from notchflow.net.clock import Clock
 from notchflow.net.connection import Connection
-from notchflow.net.dial_cost import DialCost
 from notchflow.net.exchange import DiscoveryHost, UpstreamResponse
 from notchflow.net.idle_limit import IdleLimit
 from notchflow.net.node_list import Address, NodeList, decode_node_list, node_id, parse_address
 from notchflow.net.pool import Pool
-from notchflow.net.reuse import MAX_REUSE_DELAY_MS, ReuseDelay
+from notchflow.net.reuse import ReuseDelay
 from notchflow.net.timers import TimerId, TimerWheel
 from notchflow.net.watch import ApplyList, CancelCall, ListWatch, ReportFailure, StartCall, WatchAction
 
@@ -142,8 +142,7 @@
             CONNECT_TIMEOUT_MS,
             IdleLimit(IDLE_TIMEOUT_MS),
             ReuseDelay(),
-            DialCost(),
-            patience_ms=MAX_REUSE_DELAY_MS,  # a watch goes on over one connection
+            dial_price_ms=inf,  # a watch goes on over one connection
         )
 
     def call_ended(self, number: int, node_list: NodeList | None, problem: str) -> None:
--- a/notchflow/net/host.py
+++ b/notchflow/net/host.py
@@ -12,7 +12,6 @@
 from notchflow.net.clock import Clock
 from notchflow.net.config import Config
 from notchflow.net.console import Console, connection_limit
-from notchflow.net.dial_cost import DialCost
 from notchflow.net.discovery import Discovery
 from notchflow.net.dispatcher import Dispatcher
 from notchflow.net.exchange import Gateway
@@ -57,7 +56,6 @@
         super().__init__(config, loop, clock)
         self.idle_limit = IdleLimit(config.conn_idle_ms)
         self.reuse_delay = ReuseDelay()
-        self.dial_cost = DialCost()
         console_connections = connection_limit(config.sockets) if config.console is not None else 0
         self.descriptor_limit = self.total_descriptor_limit = max(
             config.sockets - RESERVED_DESCRIPTORS - console_connections, 8
@@ -389,7 +387,7 @@
     def _make_pool(self, address: Address, earlier: Pool | None) -> Pool:
         """A pool for a node. What is known of its second responses outlives the node's absence."""
         limit_ms = self.settings.limits.connect_timeout_ms
-        pool = Pool(self, address, limit_ms, self.idle_limit, self.reuse_delay, self.dial_cost)
+        pool = Pool(self, address, limit_ms, self.idle_limit, self.reuse_delay)
         if earlier is not None and earlier.address == address:
             pool.single_use_until = earlier.single_use_until
         return pool
--- a/notchflow/net/pool.py
+++ b/notchflow/net/pool.py
@@ -11,7 +11,6 @@
 
 from notchflow.net import reuse
 from notchflow.net.connection import Connection, Exchange
-from notchflow.net.dial_cost import DialCost
 from notchflow.net.exchange import ConnectionHost
 from notchflow.net.idle_limit import IdleLimit
 from notchflow.net.reuse import ReuseDelay
@@ -19,6 +18,8 @@
 
 log = logging.getLogger(__name__)
 
+DIAL_PRICE_MS = 200.0  # in waiting of requests; nodes hold few connections, and each costs them a handshake
+
 
 class Dial(NamedTuple):
     """A connection that is being established, and the exchange that it is for."""
@@ -26,7 +27,6 @@
     task: asyncio.Task[None]
     exchange: Exchange
     timer_id: TimerId
-    begun_at: float
 
 
 class Pool:
@@ -42,8 +42,8 @@
         "single_use_until",
         "idle",
         "dials",
-        "dial_cost",
-        "patience_ms",
+        "dial_price_ms",
+        "waited_ms",
         "awaited",
         "adopting",
         "retired",
@@ -56,8 +56,7 @@
         connect_timeout_ms: float,
         idle_limit: IdleLimit,
         reuse_delay: ReuseDelay,
-        dial_cost: DialCost,
-        patience_ms: float = 0.0,
+        dial_price_ms: float = DIAL_PRICE_MS,
     ) -> None:
         self.host = host
         self.address = address
@@ -67,8 +66,8 @@
         self.single_use_until = 0.0  # until then each connection serves a single exchange
         self.idle: list[Connection] = []
         self.dials: dict[Connection, Dial] = {}
-        self.dial_cost = dial_cost
-        self.patience_ms = patience_ms  # an exchange waits so long, however quick a dial is
+        self.dial_price_ms = dial_price_ms
+        self.waited_ms = 0.0  # for connections that may soon be reused, since the last dial
         # Idle connections that may be reused soon, each with the exchange that waits for it.
         self.awaited: dict[Connection, tuple[Exchange, TimerId]] = {}
         self.adopting: dict[Connection, asyncio.Task[None]] = {}
@@ -91,7 +90,7 @@
         connection = Connection(self)
         task = self.host.loop.create_task(self._dial(connection))
         timer_id = self.host.call_at(now + self.connect_timeout_ms, self._connect_timed_out, connection)
-        self.dials[connection] = Dial(task, exchange, timer_id, now)
+        self.dials[connection] = Dial(task, exchange, timer_id)
 
     def _take_idle(self, now: float) -> Connection | None:
         """Removes and returns the connection that became idle last among those that may be reused."""
@@ -111,21 +110,29 @@
         return None
 
     def _await_reuse(self, exchange: Exchange, now: float) -> bool:
-        """Makes an exchange wait for a connection that may be reused sooner than a new one answers. Returns
-        whether there is one that no other exchange waits for."""
+        """Makes an exchange wait for a connection that may soon be reused, or returns false to have it dial.
+
+        It dials once the waits since the last dial add up to what a dial costs: then more connections are
+        worth their price, and a quiet pool opens none for a chance encounter.
+        """
         delay_ms = self.reuse_delay.delay_ms(now)
         if delay_ms > self.idle_limit.limit_ms:
             return False
-        latest = now + max(self.dial_cost.total_ms, self.patience_ms)
         for connection in self.idle:
             reusable_at = connection.idle_since + delay_ms
-            if reusable_at > latest:
-                return False
             if reusable_at > now and connection not in self.awaited and not connection.is_closing():
-                timer_id = self.host.call_at(reusable_at, self._reuse_awaited, connection)
-                self.awaited[connection] = exchange, timer_id
-                return True
-        return False
+                break
+        else:
+            return False
+        wait_ms = reusable_at - now
+        if wait_ms > reuse.MIN_REUSE_DELAY_MS:
+            return False
+        self.waited_ms += wait_ms
+        if self.waited_ms > self.dial_price_ms:
+            self.waited_ms = 0.0
+            return False
+        self.awaited[connection] = exchange, self.host.call_at(reusable_at, self._reuse_awaited, connection)
+        return True
 
     def _reuse_awaited(self, connection: Connection) -> None:
         """An awaited connection may be reused, or is closed: sends the exchange, on that one or another."""
@@ -177,7 +184,6 @@
     def _dial_failed(self, connection: Connection) -> None:
         dial = self.dials.pop(connection, None)
         if dial is not None:
-            self.dial_cost.record_dial(self.host.clock.now() - dial.begun_at)
             self.host.timers.cancel(dial.timer_id)
             dial.exchange.connection_failed(False)
 
@@ -230,7 +236,6 @@
             connection.close()
             connection.transport = None  # connection_lost is not called for a cancelled dial
             return
-        self.dial_cost.record_dial(self.host.clock.now() - dial.begun_at)
         exchange = dial.exchange
         self.host.timers.cancel(dial.timer_id)
         if self.retired:
