Take no second long response for the rest of the first

Found on reading the change again: DeliveryProgress compares the bytes that are unsent with those seen last, which may be long ago; as many of another response would have counted as a client that takes nothing, and cut it off. It starts anew when the client has caught up. A test in tests/crossings/test_slow_readers.py.

--- a/notchflow/net/client.py
+++ b/notchflow/net/client.py
@@ -130,6 +130,7 @@
         """asyncio: the client has caught up."""
         self.paused = False
         self.active_at = self.host.clock.loop_time()
+        self.delivery.restart(self.active_at)
         self._charge_output(0)
         if self.current is not None and self.current.active is not None:
             self.host.set_response_paused(self.current.active, False)
--- a/notchflow/net/delivery.py
+++ b/notchflow/net/delivery.py
@@ -23,6 +23,10 @@
         if unsent_bytes != self.unsent_bytes:
             self.unsent_bytes, self.moved_at = unsent_bytes, now
 
+    def restart(self, now: float) -> None:
+        """Forgets what was left to send: the peer has caught up, and what follows is another response."""
+        self.unsent_bytes, self.moved_at = 0, now
+
     def has_stalled(self, now: float, timeout_ms: float) -> bool:
         """Whether something is left to send, of which the peer has taken nothing for this long."""
         return self.unsent_bytes > 0 and now - self.moved_at > timeout_ms
--- a/tests/crossings/test_slow_readers.py
+++ b/tests/crossings/test_slow_readers.py
@@ -148,6 +148,26 @@
     run(test(), 30)
 
 
+def test_a_second_long_response_is_not_taken_for_the_rest_of_the_first() -> None:
+    """Guards against a client that is cut off as exactly as much lies unsent as a long time ago."""
+
+    async def test() -> None:
+        async with Rig(serve_long) as rig:
+            reader, connection = await begin_reading(rig, keep_alive=True)
+            connection.paused = True
+            connection.close_if_timed_out(rig.host.clock.now() - 2 * STALL_TIMEOUT_MS)
+            before = connection.delivery.unsent_bytes
+            assert before > 0
+            await reader.read_until(lambda: not connection.paused)
+            assert connection.delivery.unsent_bytes == 0
+            connection.delivery.update(now := rig.host.clock.now(), before)
+            assert not connection.delivery.has_stalled(now + STALL_TIMEOUT_MS, STALL_TIMEOUT_MS)
+            await reader.read_until(lambda: len(reader.body) == len(BODY))
+            reader.sock.close()
+
+    run(test(), 30)
+
+
 def test_a_client_that_stops_reading_is_cut_off_in_time() -> None:
     """Guards against connections that are kept for clients that take nothing."""
 
