Refuse numbers in header fields that are infinite in the proxy's unit

The factor belongs to the check, as it did. The new case of tests/test_request_head.py fails without this.

--- a/notchflow/net/request_head.py
+++ b/notchflow/net/request_head.py
@@ -26,12 +26,12 @@
     return b"/." not in path or not DOT_SEGMENTS.intersection(path.split(b"/"))
 
 
-def parse_number(text: bytes) -> float:
-    """Returns a finite decimal number. A ValueError says that the text is none; Python alone would also take
-    digits grouped by underscores, `nan` and `inf`."""
+def parse_number(text: bytes, factor: float = 1.0) -> float:
+    """Returns a decimal number times `factor`, which must be finite. A ValueError says that it is not; Python
+    alone would also take digits grouped by underscores, `nan` and `inf`."""
     if not DECIMAL_NUMBER.fullmatch(text):
         raise ValueError(f"expected a decimal number, got {text[:40]!r}")
-    value = float(text)
+    value = float(text) * factor
     if not math.isfinite(value):
         raise ValueError(f"expected a finite number, got {text[:40]!r}")
     return value
@@ -41,7 +41,7 @@
     """Returns a finite number from a header field, times `factor`, or None if the field is absent. A
     ValueError says that it is not a finite number."""
     raw = fields.get(name)
-    return None if raw is None else parse_number(raw) * factor
+    return None if raw is None else parse_number(raw, factor)
 
 
 def parse_info_size(info: bytes) -> float | None:
--- a/tests/test_request_head.py
+++ b/tests/test_request_head.py
@@ -34,3 +34,8 @@
             assert rig.forwarded_count == 0
 
     run(test())
+
+
+def test_a_number_that_is_infinite_in_the_unit_of_the_proxy_is_refused() -> None:
+    with pytest.raises(ValueError, match="finite"):
+        parse_number_header({b"x-budget": b"1e306"}, b"x-budget", 1e3)
