--- a/review/support2.py
+++ b/review/support2.py
@@ -51,9 +51,20 @@
         self.record.flush()
 
     def spawn(
-        self, name: str, command: str, environment: Mapping[str, str], pass_fds: tuple[int, ...] = ()
+        self,
+        name: str,
+        command: str,
+        environment: Mapping[str, str],
+        inherited: Mapping[int, int] | None = None,
     ) -> subprocess.Popen[bytes]:
-        """Starts a command line from the root of the repository; its output goes to the record's folder."""
+        """Starts a command line from the root of the repository; its output goes to a log in the case's folder.
+        `inherited`: descriptors of the new process, with those of this one that they are."""
+        moves = dict(inherited or {})
+
+        def move() -> None:
+            for new, own in moves.items():
+                os.dup2(own, new)
+
         with (self.folder / f"{name}.log").open("ab") as log:
             process = subprocess.Popen(
                 ["/bin/sh", "-c", command],
@@ -61,7 +72,8 @@
                 env={**os.environ, **environment},
                 stdout=log,
                 stderr=log,
-                pass_fds=pass_fds,
+                pass_fds=tuple(moves),
+                preexec_fn=move if moves else None,
             )
         self.processes.append(process)
         return process
@@ -189,5 +201,7 @@
 
 
 def main(file: str, case: Callable[[Stage], Awaitable[bool]]) -> None:
-    """Runs a case from its own file and exits with its status."""
-    sys.exit(run(Path(file).resolve().parent, case))
+    """Runs a case from its own file and exits with its status, whatever stand-ins are still connected."""
+    status = run(Path(file).resolve().parent, case)
+    sys.stdout.flush()
+    os._exit(status)
