--- a/review/support2.py
+++ b/review/support2.py
@@ -57,7 +57,7 @@
         environment: Mapping[str, str],
         inherited: Mapping[int, int] | None = None,
     ) -> subprocess.Popen[bytes]:
-        """Starts a command line from the root of the repository; its output goes to a log in the case's folder.
+        """Starts a command line from the root of the repository; its output goes to a log of the case.
         `inherited`: descriptors of the new process, with those of this one that they are."""
         moves = dict(inherited or {})
 
