--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Case 7: a keyed write is resent, and its last byte reaches a cache node that has forgotten the first one."""
+"""Case 7: a keyed write is resent, and is whole at a cache node that has forgotten the first one."""
 
 from __future__ import annotations
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Case 8: a process that is replaced runs out of descriptors while it hands its clients over, and answers no more."""
+"""Case 8: a process that is replaced runs out of descriptors as it hands over its clients."""
 
 from __future__ import annotations
 
--- a/review/hosted2.py
+++ b/review/hosted2.py
@@ -77,7 +77,7 @@
     def write_file(
         self, box: str, fleet: Sequence[Instance] = (), book: Mapping[str, str] | None = None
     ) -> None:
-        """Writes its operator file; with `fleet` it is a member of it, with `book` through those addresses."""
+        """Writes its operator file: by itself, or a member of `fleet`, reached as `book` says."""
         text = SERVICE.format(name=self.name, clients=self.clients, admin=self.admin, box=box)
         if fleet:
             seeds = list(book.values()) if book else [one.cluster_address for one in fleet]
